--- /dev/null
+++ b/packages/bench/src/harness/startDaemonProcess.ts
@@ -0,0 +1,90 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+
+/** A daemon that runs as a process of its own. */
+export type DaemonProcess = {
+	readonly instanceId: string;
+	readonly child: ChildProcess;
+	/** Addresses by name, as the daemon took them. */
+	readonly addresses: Readonly<Record<string, string>>;
+	/** Every log line so far, at most {@link LOG_LINES_KEPT}. */
+	readonly logLines: readonly string[];
+	/** Sends SIGTERM and waits for the exit code; null where a signal ended it. */
+	readonly stop: () => Promise<number | null>;
+	/** Sends any signal. */
+	readonly signal: (signal: NodeJS.Signals) => void;
+};
+
+const LOG_LINES_KEPT = 5000;
+const DAEMON_FILE = path.join(path.dirname(createRequire(import.meta.url).resolve('@damaskspool/daemon')), 'bin.js');
+
+/**
+ * Starts `damaskspoold` with settings and waits until it listens.
+ *
+ * @param settings - content of its settings file
+ * @returns the running process; rejects where it ends before it listens
+ */
+export async function startDaemonProcess(settings: Readonly<Record<string, unknown>>): Promise<DaemonProcess> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'damaskspool-'));
+	const file = path.join(directory, 'settings.jsonc');
+	await writeFile(file, JSON.stringify(settings));
+	const child = spawn(process.execPath, [DAEMON_FILE, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
+	const logLines: string[] = [];
+	const keepLine = (line: string) => {
+		logLines.push(line);
+		if (logLines.length > LOG_LINES_KEPT) {
+			logLines.shift();
+		}
+	};
+
+	const exited = once(child, 'exit') as Promise<[number | null]>;
+	const started = new Promise<Readonly<Record<string, string>>>(resolve => {
+		createInterface(child.stdout).on('line', line => {
+			keepLine(line);
+			const addresses = parseAddresses(line);
+			if (addresses !== undefined) {
+				resolve(addresses);
+			}
+		});
+	});
+	createInterface(child.stderr).on('line', keepLine);
+	const addresses = await Promise.race([started, exited.then(([code]) => {
+		throw new Error(`damaskspoold ended with ${code} before it listened:\n${logLines.join('\n')}`);
+	})]);
+	await rm(directory, {recursive: true});
+
+	const signal = (name: NodeJS.Signals) => {
+		child.kill(name);
+	};
+
+	return {
+		instanceId: String(settings.instanceId),
+		child,
+		addresses,
+		logLines,
+		signal,
+		async stop() {
+			if (child.exitCode === null && child.signalCode === null) {
+				signal('SIGTERM');
+				await exited;
+			}
+
+			return child.exitCode;
+		},
+	};
+}
+
+function parseAddresses(line: string): Readonly<Record<string, string>> | undefined {
+	if (!line.includes('"message":"started"')) {
+		return undefined;
+	}
+
+	const parsed = JSON.parse(line) as {context: {addresses: Record<string, string>}};
+	return parsed.context.addresses;
+}
--- /dev/null
+++ b/packages/bench/src/load/runTraffic.ts
@@ -0,0 +1,53 @@
+import {Agent} from 'undici';
+import {type PlannedRequest} from './createTraffic.js';
+import {type RequestResult, sendPlanned} from './sendPlanned.js';
+
+/** Options of {@link runTraffic}. */
+export type RunTrafficOptions = {
+	readonly planned: readonly PlannedRequest[];
+	/** Entries, used in turn as a balancer would. */
+	readonly addresses: readonly string[];
+	readonly keys: ReadonlyMap<string, string>;
+	readonly onResult?: (result: RequestResult) => void;
+	readonly signal?: AbortSignal;
+};
+
+/**
+ * Sends planned requests at their times and waits for every answer.
+ *
+ * @param options - requests, entries and keys
+ * @returns the results, in order of sending
+ */
+export async function runTraffic(options: RunTrafficOptions): Promise<RequestResult[]> {
+	const {planned, addresses, keys, onResult, signal} = options;
+	const dispatcher = new Agent({connections: 256, headersTimeout: 120_000, bodyTimeout: 120_000});
+	const startedAt = performance.now();
+	const results: Array<Promise<RequestResult>> = [];
+	for (const [index, request] of planned.entries()) {
+		const waitMs = request.atMs - (performance.now() - startedAt);
+		if (waitMs > 1) {
+			await new Promise(resolve => {
+				setTimeout(resolve, waitMs);
+			});
+		}
+
+		if (signal?.aborted) {
+			break;
+		}
+
+		results.push((async () => {
+			const result = await sendPlanned({
+				request,
+				address: addresses[index % addresses.length]!,
+				key: keys.get(request.customerId),
+				dispatcher,
+			});
+			onResult?.(result);
+			return result;
+		})());
+	}
+
+	const settled = await Promise.all(results);
+	await dispatcher.destroy();
+	return settled;
+}
--- /dev/null
+++ b/packages/cli/src/bin.ts
@@ -0,0 +1,6 @@
+#!/usr/bin/env node
+/** Program `damaskspool`: an operator's command line. */
+import process from 'node:process';
+import {createCli} from './createCli.js';
+
+process.exit(await createCli().run(process.argv.slice(2)));
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export * from './createCli.js';
--- /dev/null
+++ b/packages/core/src/admission/admissionHandlers.ts
@@ -0,0 +1,115 @@
+import {createFailure, ERROR_CODES, type ErrorCode} from '@damaskspool/shared';
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {type SidecarEffect} from '../reducer/sidecarEffects.js';
+import {type SidecarEvent} from '../reducer/sidecarEvents.js';
+import {type SidecarState} from '../reducer/sidecarState.js';
+import {
+	type AdmissionState, countPieces, isFitting, type Work,
+} from './admissionState.js';
+
+/** Time after which a caller may try a full queue again. */
+const QUEUE_RETRY_AFTER_MS = 500;
+
+/** Handlers by which a sidecar admits work to its target. */
+export const admissionHandlers: HandlerTable<SidecarState, SidecarEvent, SidecarEffect> = {
+	'work.received'({admission}, {work, nowMs}) {
+		const refusal = findRefusal(admission, work, nowMs);
+		if (refusal !== undefined) {
+			return [refuseWork(work, refusal)];
+		}
+
+		admission.waiting.push(work);
+		return startFittingWork(admission);
+	},
+
+	'work.answered'({admission}, {attemptId}) {
+		admission.prefillingTokens.delete(attemptId);
+		return [];
+	},
+
+	'work.ended'({admission}, {attemptId}) {
+		releaseWork(admission, attemptId);
+		return startFittingWork(admission);
+	},
+
+	'work.cancelled'({admission}, {attemptId}) {
+		if (admission.running.has(attemptId)) {
+			return [{type: 'work.cancel', attemptId}];
+		}
+
+		admission.waiting = admission.waiting.filter(work => work.attemptId !== attemptId);
+		return [];
+	},
+
+	'target.reported'({admission}, event) {
+		admission.role = event.role;
+		admission.models = event.models;
+		admission.reportedAtMs = event.nowMs;
+		if (admission.lifeState === 'starting' && event.isReady) {
+			admission.lifeState = 'serving';
+		}
+
+		return startFittingWork(admission);
+	},
+
+	tick({admission}, {nowMs}) {
+		const hopeless = admission.waiting.filter(work => work.deadlineAtMs <= nowMs);
+		admission.waiting = admission.waiting.filter(work => work.deadlineAtMs > nowMs);
+		return hopeless.map(work => refuseWork(work, ERROR_CODES.deadlineHopeless));
+	},
+
+	'stop.requested'(state) {
+		state.isStopping = true;
+		state.admission.lifeState = 'leaving';
+		const refused = state.admission.waiting;
+		state.admission.waiting = [];
+		return refused.map(work => refuseWork(work, ERROR_CODES.leaving));
+	},
+};
+
+/** Why work cannot even wait here; undefined where it can. */
+function findRefusal(admission: AdmissionState, work: Work, nowMs: number): ErrorCode | undefined {
+	if (admission.lifeState !== 'serving') {
+		return ERROR_CODES.leaving;
+	}
+
+	if (work.deadlineAtMs <= nowMs) {
+		return ERROR_CODES.deadlineHopeless;
+	}
+
+	const isFull = admission.waiting.length >= admission.capacity.queueLimit;
+	return isFull && !isFitting(admission, work) ? ERROR_CODES.queueFull : undefined;
+}
+
+function refuseWork(work: Work, code: ErrorCode): SidecarEffect {
+	const failure = createFailure(code, {retryAfterMs: QUEUE_RETRY_AFTER_MS});
+	return {type: 'work.refuse', attemptId: work.attemptId, failure};
+}
+
+/** Starts waiting work, interactive before batch and else in order of arrival, while it fits. */
+function startFittingWork(admission: AdmissionState): readonly SidecarEffect[] {
+	const effects: SidecarEffect[] = [];
+	for (;;) {
+		const next = admission.waiting.find(work => work.priority === 'interactive') ?? admission.waiting[0];
+		if (next === undefined || !isFitting(admission, next)) {
+			return effects;
+		}
+
+		admission.waiting.splice(admission.waiting.indexOf(next), 1);
+		admission.running.set(next.attemptId, next);
+		admission.usedPieces += countPieces(next);
+		admission.prefillingTokens.set(next.attemptId, next.promptTokens);
+		effects.push({type: 'work.start', attemptId: next.attemptId});
+	}
+}
+
+function releaseWork(admission: AdmissionState, attemptId: string): void {
+	const work = admission.running.get(attemptId);
+	if (work === undefined) {
+		return;
+	}
+
+	admission.running.delete(attemptId);
+	admission.prefillingTokens.delete(attemptId);
+	admission.usedPieces -= countPieces(work);
+}
--- /dev/null
+++ b/packages/core/src/configuration/configurationState.ts
@@ -0,0 +1,83 @@
+import {
+	type Configuration,
+	type CustomerConfiguration,
+	type RouteConfiguration,
+	type ServiceConfiguration,
+} from '@damaskspool/shared';
+
+/** A service together with the route of it that a request took. */
+export type ResolvedRoute = {
+	readonly service: ServiceConfiguration;
+	readonly route: RouteConfiguration;
+};
+
+/** The configuration in force at this process, indexed for look-ups. */
+export type ConfigurationState = {
+	/** Minus one until the first configuration was read. */
+	revision: number;
+	services: Map<string, ServiceConfiguration>;
+	customers: Map<string, CustomerConfiguration>;
+	customerIdByKeyHash: Map<string, string>;
+	/** Longest path first. */
+	routes: ResolvedRoute[];
+};
+
+/**
+ * Creates the state of a process that has read no configuration.
+ *
+ * @returns an empty configuration state
+ */
+export function createConfigurationState(): ConfigurationState {
+	return {
+		revision: -1,
+		services: new Map(),
+		customers: new Map(),
+		customerIdByKeyHash: new Map(),
+		routes: [],
+	};
+}
+
+/**
+ * Puts a configuration in force if its revision is above the one in force, so
+ * that a late or repeated copy never reverts a change.
+ *
+ * @param state - state to change
+ * @param configuration - revision and document, already checked against its schema
+ * @returns whether it was put in force
+ */
+export function applyConfiguration(state: ConfigurationState, configuration: Configuration): boolean {
+	if (configuration.revision <= state.revision) {
+		return false;
+	}
+
+	const {services, customers} = configuration.document;
+	state.revision = configuration.revision;
+	state.services = new Map(services.map(service => [service.serviceId, service]));
+	state.customers = new Map(customers.map(customer => [customer.customerId, customer]));
+	state.customerIdByKeyHash = new Map(customers.flatMap(customer =>
+		customer.keyHashes.map(keyHash => [keyHash, customer.customerId] as const)));
+	state.routes = services
+		.flatMap(service => service.routes.map(route => ({service, route})))
+		.toSorted((left, right) => right.route.path.length - left.route.path.length);
+	return true;
+}
+
+/**
+ * Finds the service that is offered at a method and path.
+ *
+ * @param state - configuration in force
+ * @param method - HTTP method, upper case
+ * @param path - URL path without query
+ * @param modelId - model that the body names, by which services that share a path are told apart
+ * @returns the service and route, or undefined where none fits
+ */
+export function resolveRoute(
+	state: ConfigurationState,
+	method: string,
+	path: string,
+	modelId: string | undefined,
+): ResolvedRoute | undefined {
+	const candidates = state.routes.filter(({route}) =>
+		route.method === method && (path === route.path || path.startsWith(`${route.path}/`)));
+	return candidates.find(({service}) => modelId !== undefined && service.models.includes(modelId)) ?? candidates[0];
+}
--- /dev/null
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -0,0 +1,30 @@
+import {type Failure} from '@damaskspool/shared';
+
+/** Sends one attempt of a request to the sidecar of a target. */
+export type SendAttempt = {
+	readonly type: 'attempt.send';
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly targetId: string;
+	readonly address: string;
+	readonly customerId: string;
+	readonly serviceId: string;
+	/** Time left for the whole answer. */
+	readonly remainingMs: number;
+};
+/** Ends an attempt under way; the target's work is cancelled. */
+export type CancelAttempt = {readonly type: 'attempt.cancel'; readonly requestId: string; readonly attemptId: string};
+/** Tells the caller that its request is refused. */
+export type RefuseRequest = {readonly type: 'request.refuse'; readonly requestId: string; readonly failure: Failure};
+/** Closes the caller's answer, which is whole. */
+export type CompleteRequest = {readonly type: 'request.complete'; readonly requestId: string};
+/** Records a decision for logs and `query 'events'`. */
+export type RecordDecision = {
+	readonly type: 'decision.record';
+	readonly name: string;
+	readonly subject: string;
+	readonly detail: Readonly<Record<string, unknown>>;
+};
+
+/** Every effect of an entry. */
+export type EntryEffect = SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision;
--- /dev/null
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -0,0 +1,65 @@
+import {
+	type Configuration, type Failure, type InstanceRecord, type LoadReport,
+} from '@damaskspool/shared';
+import {type BaseEvent} from './createReducer.js';
+
+/** What the edge read of a request before anything was decided. It holds no key, only the key's hash. */
+export type RequestFacts = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	/** SHA-256 of the caller's key; undefined where none came. */
+	readonly keyHash: string | undefined;
+	readonly modelId: string | undefined;
+	readonly bodyBytes: number;
+	readonly promptTokens: number;
+	readonly maxTokens: number;
+	readonly isStream: boolean;
+	readonly priority: 'interactive' | 'batch';
+	/** Digest of the body, without customer and service. */
+	readonly bodyDigest: string;
+	readonly idempotencyKey: string | undefined;
+};
+
+type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
+
+/** A caller's request was read whole. */
+export type RequestReceived = Timed<'request.received', {readonly facts: RequestFacts}>;
+/** The first bytes of an attempt's answer came. */
+export type AttemptAnswered = Timed<'attempt.answered', {
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly load: LoadReport | undefined;
+}>;
+/** An attempt's answer was handed to the caller whole. */
+export type AttemptFinished = Timed<'attempt.finished', {
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly generatedTokens: number;
+}>;
+/** An attempt ended without a whole answer. */
+export type AttemptFailed = Timed<'attempt.failed', {
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly failure: Failure;
+	readonly load: LoadReport | undefined;
+	/** Whether the target, and not the request or the queue, is at fault. */
+	readonly isTargetFault: boolean;
+}>;
+/** The caller closed its connection before its answer was whole. */
+export type CallerLeft = Timed<'caller.left', {readonly requestId: string}>;
+/** A configuration was read from the object API or a peer. */
+export type ConfigurationRead = Timed<'configuration.read', {readonly configuration: Configuration}>;
+/** The platform's instance list was read. */
+export type InstancesListed = Timed<'instances.listed', {readonly instances: readonly InstanceRecord[]}>;
+/** A sidecar reported its load. */
+export type LoadReported = Timed<'load.reported', {readonly load: LoadReport}>;
+/** Time passed. */
+export type Tick = Timed<'tick', Record<never, never>>;
+/** The process was told to stop. */
+export type StopRequested = Timed<'stop.requested', Record<never, never>>;
+
+/** Every event of an entry. */
+export type EntryEvent
+	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
+		| ConfigurationRead | InstancesListed | LoadReported | Tick | StopRequested;
--- /dev/null
+++ b/packages/core/src/reducer/sidecarReducer.ts
@@ -0,0 +1,10 @@
+import {admissionHandlers} from '../admission/admissionHandlers.js';
+import {createReducer} from './createReducer.js';
+import {type SidecarEffect} from './sidecarEffects.js';
+import {type SidecarEvent} from './sidecarEvents.js';
+import {type SidecarState} from './sidecarState.js';
+
+/** Decides everything that a sidecar does. */
+export const reduceSidecar = createReducer<SidecarState, SidecarEvent, SidecarEffect>({
+	tables: [admissionHandlers],
+});
--- /dev/null
+++ b/packages/core/src/reducer/sidecarState.ts
@@ -0,0 +1,39 @@
+import {type AdmissionState, type Capacity} from '../admission/admissionState.js';
+
+/** The whole state of a sidecar's decisions. */
+export type SidecarState = {
+	readonly instanceId: string;
+	isStopping: boolean;
+	admission: AdmissionState;
+};
+
+/** Options of {@link createSidecarState}. */
+export type SidecarStateOptions = {
+	readonly instanceId: string;
+	readonly capacity: Capacity;
+};
+
+/**
+ * Creates the first state of a sidecar.
+ *
+ * @param options - identity of the target's instance and how much the target takes at once
+ * @returns the state
+ */
+export function createSidecarState(options: SidecarStateOptions): SidecarState {
+	return {
+		instanceId: options.instanceId,
+		isStopping: false,
+		admission: {
+			targetId: options.instanceId,
+			capacity: options.capacity,
+			lifeState: 'starting',
+			role: 'mixed',
+			models: [],
+			running: new Map(),
+			waiting: [],
+			usedPieces: 0,
+			prefillingTokens: new Map(),
+			reportedAtMs: 0,
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/request/__tests__/requestFixtures.ts
@@ -0,0 +1,93 @@
+import {type ConfigurationDocument, hashText, type InstanceRecord} from '@damaskspool/shared';
+import {type RequestFacts} from '../../reducer/entryEvents.js';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createEntryState, type EntryState} from '../../reducer/entryState.js';
+
+/** Key of the one customer of {@link createReadyState}. */
+export const TEST_KEY = 'dmsk_test_customer';
+
+/**
+ * Builds a configuration with a model service and a plain service whose calls may not be repeated.
+ *
+ * @returns the document
+ */
+export function createTestDocument(): ConfigurationDocument {
+	return {
+		services: [
+			{
+				serviceId: 'assistant',
+				kind: 'model',
+				models: ['m'],
+				routes: [{
+					method: 'POST', path: '/v1/chat/completions', access: 'keyed', repeatable: true, deadlineMs: 10_000, bodyLimitBytes: 1000,
+				}],
+				firstTokenGoalMs: 720,
+				betweenTokensGoalMs: 41,
+			},
+			{
+				serviceId: 'booking',
+				kind: 'plain',
+				models: [],
+				routes: [{
+					method: 'POST', path: '/permits', access: 'keyed', repeatable: false, deadlineMs: 10_000, bodyLimitBytes: 1000,
+				}],
+				firstTokenGoalMs: 720,
+				betweenTokensGoalMs: 41,
+			},
+		],
+		customers: [{
+			customerId: 'c', keyHashes: [hashText(TEST_KEY)], weight: 1, operator: false,
+		}],
+	};
+}
+
+/**
+ * Builds a row of the instance list.
+ *
+ * @param instanceId - identifier
+ * @param serviceId - service that the target runs
+ * @returns a live target
+ */
+export function createTestTarget(instanceId: string, serviceId: string): InstanceRecord {
+	return {
+		instanceId, kind: 'target', availabilityZone: 'a', region: 'r', address: '127.0.0.1:1', state: 'live', serviceId, incarnation: 1,
+	};
+}
+
+/**
+ * Builds the state of an entry that has read its configuration and knows three targets of each service.
+ *
+ * @returns the state
+ */
+export function createReadyState(): EntryState {
+	const state = createEntryState({instanceId: 'e', availabilityZone: 'a'});
+	reduceEntry(state, {type: 'configuration.read', nowMs: 0, configuration: {revision: 1, document: createTestDocument()}});
+	const instances = ['assistant', 'booking'].flatMap(serviceId =>
+		[1, 2, 3].map(index => createTestTarget(`${serviceId}-${index}`, serviceId)));
+	reduceEntry(state, {type: 'instances.listed', nowMs: 0, instances});
+	return state;
+}
+
+/**
+ * Builds what the edge reads of a request.
+ *
+ * @param fields - what differs from a request of the test customer for the model service
+ * @returns the facts
+ */
+export function createFacts(fields: Partial<RequestFacts> = {}): RequestFacts {
+	return {
+		requestId: 'r',
+		method: 'POST',
+		path: '/v1/chat/completions',
+		keyHash: hashText(TEST_KEY),
+		modelId: 'm',
+		bodyBytes: 10,
+		promptTokens: 100,
+		maxTokens: 10,
+		isStream: true,
+		priority: 'interactive',
+		bodyDigest: 'd',
+		idempotencyKey: undefined,
+		...fields,
+	};
+}
--- /dev/null
+++ b/packages/core/src/request/__tests__/requestHandlers.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createFailure, ERROR_CODES, OUTCOMES} from '@damaskspool/shared';
+import fc from 'fast-check';
+import {type EntryEffect, type SendAttempt} from '../../reducer/entryEffects.js';
+import {type EntryEvent} from '../../reducer/entryEvents.js';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createFacts, createReadyState} from './requestFixtures.js';
+
+const SEED = 20_261_204;
+
+/** What becomes of an attempt, as a target and the network between may have it. */
+const fates = fc.constantFrom('refusedNotRun', 'unknown', 'answered', 'finished', 'late', 'tick', 'callerLeft');
+
+describe('a request at its entry', () => {
+	it('ends in one outcome, and is sent again only if that cannot run it twice', () => {
+		fc.assert(fc.property(fc.boolean(), fc.array(fates, {maxLength: 30}), (isRepeatable, steps) => {
+			const state = createReadyState();
+			const facts = isRepeatable ? createFacts() : createFacts({path: '/permits', modelId: undefined});
+			const ends: EntryEffect[] = [];
+			const attempts: SendAttempt[] = [];
+			let mayHaveRun = false;
+			let nowMs = 1;
+			const dispatch = (event: EntryEvent) => {
+				for (const effect of reduceEntry(state, event)) {
+					if (effect.type === 'attempt.send') {
+						assert.ok(isRepeatable || !mayHaveRun, 'sent again although it may have run');
+						attempts.push(effect);
+					} else if (effect.type === 'request.refuse' || effect.type === 'request.complete') {
+						ends.push(effect);
+						const isNotRun = effect.type === 'request.refuse' && effect.failure.outcome === OUTCOMES.refusedNotRun;
+						assert.ok(!isNotRun || !mayHaveRun, 'said not run although it may have run');
+					}
+				}
+			};
+
+			dispatch({type: 'request.received', nowMs, facts});
+			for (const step of steps) {
+				const attempt = attempts.at(step === 'late' ? 0 : -1);
+				assert.ok(attempt !== undefined);
+				const {requestId, attemptId} = attempt;
+				const isOpen = state.requests.get(requestId)?.attempt?.attemptId === attemptId;
+				nowMs += step === 'tick' ? 4000 : 1;
+				// What the simulated target did with the attempt, before the reducer hears of it.
+				mayHaveRun ||= isOpen && (step === 'unknown' || step === 'answered');
+				const outcome = step === 'refusedNotRun' ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
+				const failed: EntryEvent = {
+					type: 'attempt.failed', nowMs, requestId, attemptId, load: undefined, isTargetFault: true, failure: createFailure(ERROR_CODES.targetFailed, {outcome}),
+				};
+				const events: Record<typeof step, EntryEvent> = {
+					refusedNotRun: failed,
+					unknown: failed,
+					late: {...failed, attemptId: `${requestId}.0`},
+					answered: {
+						type: 'attempt.answered', nowMs, requestId, attemptId, load: undefined,
+					},
+					finished: {
+						type: 'attempt.finished', nowMs, requestId, attemptId, generatedTokens: 1,
+					},
+					tick: {type: 'tick', nowMs},
+					callerLeft: {type: 'caller.left', nowMs, requestId},
+				};
+				dispatch(events[step]);
+			}
+
+			dispatch({type: 'tick', nowMs: 1_000_000});
+			assert.equal(state.requests.size, 0);
+			assert.ok(ends.length <= 1);
+			for (const target of state.membership.targets.values()) {
+				assert.equal(target.inFlight, 0);
+				assert.equal(target.inFlightPromptTokens, 0);
+			}
+		}), {seed: SEED, numRuns: 500});
+	});
+
+	it('is refused without an attempt where the key is missing, unknown or for no such model', () => {
+		const cases = [
+			[createFacts({keyHash: undefined}), ERROR_CODES.keyMissing],
+			[createFacts({keyHash: 'unknown'}), ERROR_CODES.keyUnknown],
+			[createFacts({modelId: 'other'}), ERROR_CODES.modelUnknown],
+			[createFacts({path: '/nowhere'}), ERROR_CODES.routeUnknown],
+			[createFacts({bodyBytes: 1001}), ERROR_CODES.bodyTooLarge],
+		] as const;
+		for (const [facts, code] of cases) {
+			const effects = reduceEntry(createReadyState(), {type: 'request.received', nowMs: 1, facts});
+			assert.equal(effects.length, 1);
+			assert.equal(effects[0]?.type === 'request.refuse' ? effects[0].failure.code : undefined, code);
+		}
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/entry/callerAnswer.ts
@@ -0,0 +1,112 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type ServerResponse} from 'node:http';
+import {
+	ERROR_DESCRIPTIONS, type Failure, HEADERS, type Outcome, OUTCOMES, SECOND_MS,
+} from '@damaskspool/shared';
+
+/** The caller's side of a request: writes either a whole answer or one refusal. */
+export type CallerAnswer = {
+	/** Whether a part of a stream was already sent. */
+	readonly isStarted: () => boolean;
+	/** Sends one whole event; resolves when the caller's connection takes more. */
+	readonly sendEvent: (bytes: Buffer) => Promise<void>;
+	/** Keeps a whole answer that is no stream until the request is complete. */
+	readonly holdWhole: (status: number, contentType: string, body: Buffer) => void;
+	readonly complete: () => void;
+	readonly refuse: (failure: Failure) => void;
+};
+
+/**
+ * Creates the caller's side of a request.
+ *
+ * @param response - response of node:http
+ * @param requestId - identifier that the caller is told
+ * @returns the caller's side
+ */
+export function createCallerAnswer(response: ServerResponse, requestId: string): CallerAnswer {
+	let held: {status: number; contentType: string; body: Buffer} | undefined;
+	let isStream = false;
+
+	const startStream = () => {
+		isStream = true;
+		response.writeHead(200, {
+			'content-type': 'text/event-stream',
+			'cache-control': 'no-store',
+			[HEADERS.requestId]: requestId,
+			trailer: HEADERS.outcome,
+		});
+	};
+
+	const writeWhole = (status: number, headers: Record<string, string>, body: Buffer) => {
+		response.writeHead(status, {
+			...headers,
+			'content-length': body.length,
+			[HEADERS.requestId]: requestId,
+		});
+		response.end(body);
+	};
+
+	const endStream = (outcome: Outcome) => {
+		response.addTrailers({[HEADERS.outcome]: outcome});
+		response.end();
+	};
+
+	return {
+		isStarted: () => isStream,
+		async sendEvent(bytes) {
+			if (!isStream) {
+				startStream();
+			}
+
+			if (!response.write(bytes)) {
+				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			}
+		},
+		holdWhole(status, contentType, body) {
+			held = {status, contentType, body};
+		},
+		complete() {
+			if (isStream) {
+				endStream(OUTCOMES.answered);
+			} else if (held !== undefined) {
+				const {status, contentType, body} = held;
+				writeWhole(status, {'content-type': contentType, [HEADERS.outcome]: OUTCOMES.answered}, body);
+			}
+		},
+		refuse(failure) {
+			const text = JSON.stringify(toErrorBody(failure, requestId));
+			if (isStream) {
+				response.write(`event: error\ndata: ${text}\n\n`);
+				endStream(failure.outcome);
+				return;
+			}
+
+			const retryAfter: Record<string, string> = failure.retryAfterMs === undefined
+				? {}
+				: {'retry-after': String(Math.ceil(failure.retryAfterMs / SECOND_MS))};
+			writeWhole(ERROR_DESCRIPTIONS[failure.code].status, {
+				'content-type': 'application/json',
+				[HEADERS.outcome]: failure.outcome,
+				[HEADERS.errorCode]: failure.code,
+				...retryAfter,
+			}, Buffer.from(text));
+		},
+	};
+}
+
+/**
+ * Builds the JSON body of a refusal, in the shape that clients of such interfaces know.
+ *
+ * @param failure - the refusal
+ * @param requestId - identifier of the request
+ * @returns the body
+ */
+export function toErrorBody(failure: Failure, requestId: string) {
+	const {code, message, outcome, retryAfterMs} = failure;
+	return {
+		error: {
+			code, message, outcome, request_id: requestId, ...(retryAfterMs !== undefined && {retry_after_ms: retryAfterMs}),
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -0,0 +1,181 @@
+import {type Buffer} from 'node:buffer';
+import {type Readable} from 'node:stream';
+import {type SendAttempt} from '@damaskspool/core';
+import {MalformedStreamError, readBody, splitServerSentEvents} from '@damaskspool/runtime';
+import {
+	computeFingerprint, createFailure, ERROR_CODES, type ErrorCode, type Failure, HEADERS, type LoadReport,
+	loadReportSchema, MEBIBYTE_BYTES, type Outcome, OUTCOMES,
+} from '@damaskspool/shared';
+import {type Dispatcher} from 'undici';
+import {type CallerAnswer} from './callerAnswer.js';
+import {type CallerRequest} from './readCallerRequest.js';
+
+/** Largest answer that is no stream; it is held whole, so that a broken one never reaches a caller. */
+const WHOLE_ANSWER_LIMIT_BYTES = 4 * MEBIBYTE_BYTES;
+/** Data of the last event of a whole stream. */
+const STREAM_END = '[DONE]';
+/** Errors of a connection that was never made: nothing of the request can have left this process. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** How much of a request's stream its caller has. It outlives attempts, so that the next one resumes there. */
+export type StreamProgress = {
+	lastEventId: string | undefined;
+	generatedTokens: number;
+};
+
+/** How an attempt ended. */
+export type AttemptEnd
+	= | {readonly type: 'finished'; readonly generatedTokens: number}
+		| {readonly type: 'failed'; readonly failure: Failure; readonly load: LoadReport | undefined; readonly isTargetFault: boolean};
+
+/** Options of {@link sendAttempt}. */
+export type SendAttemptOptions = {
+	readonly effect: SendAttempt;
+	readonly entryId: string;
+	readonly request: CallerRequest;
+	readonly answer: CallerAnswer;
+	readonly progress: StreamProgress;
+	readonly dispatcher: Dispatcher;
+	readonly signal: AbortSignal;
+	readonly onAnswered: (load: LoadReport | undefined) => void;
+};
+
+/**
+ * Sends one attempt to a sidecar and passes its answer on.
+ *
+ * @param options - the attempt, where its answer goes, and how to end it early
+ * @returns how it ended; the outcome of a failure is `refused-not-run` only where that is proven
+ */
+export async function sendAttempt(options: SendAttemptOptions): Promise<AttemptEnd> {
+	const {effect, request, dispatcher, signal} = options;
+	let response: Dispatcher.ResponseData;
+	try {
+		response = await dispatcher.request({
+			origin: `http://${effect.address}`,
+			method: request.facts.method,
+			path: request.target,
+			headers: createAttemptHeaders(options),
+			body: request.body.length === 0 ? null : request.body,
+			signal,
+			headersTimeout: effect.remainingMs,
+			bodyTimeout: effect.remainingMs,
+		});
+	} catch (error) {
+		const code = (error as {code?: string}).code ?? '';
+		const outcome = NOT_SENT_CODES.has(code) ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
+		return createFailedEnd(ERROR_CODES.targetUnreachable, {outcome, detail: (error as Error).message});
+	}
+
+	const end = await passAnswerOn(options, response);
+	if (end.type === 'failed') {
+		response.body.destroy();
+	}
+
+	return end;
+}
+
+function createAttemptHeaders({effect, entryId, request, progress}: SendAttemptOptions): Record<string, string> {
+	const {facts} = request;
+	return {
+		...request.headers,
+		[HEADERS.requestId]: effect.requestId,
+		[HEADERS.attemptId]: effect.attemptId,
+		[HEADERS.entryId]: entryId,
+		[HEADERS.customerId]: effect.customerId,
+		[HEADERS.serviceId]: effect.serviceId,
+		[HEADERS.priority]: facts.priority,
+		[HEADERS.remainingMs]: String(Math.floor(effect.remainingMs)),
+		[HEADERS.promptTokens]: String(facts.promptTokens),
+		[HEADERS.maxTokens]: String(facts.maxTokens),
+		[HEADERS.fingerprint]: computeFingerprint(effect.customerId, effect.serviceId, request.body),
+		...(progress.lastEventId !== undefined && {[HEADERS.lastEventId]: progress.lastEventId}),
+	};
+}
+
+async function passAnswerOn(options: SendAttemptOptions, response: Dispatcher.ResponseData): Promise<AttemptEnd> {
+	const {effect, onAnswered, answer} = options;
+	const {headers, statusCode, body} = response;
+	const load = parseLoad(headers[HEADERS.load]);
+	if (headers[HEADERS.requestId] !== effect.requestId) {
+		return createFailedEnd(ERROR_CODES.answerCrossed, {load});
+	}
+
+	const refusal = headers[HEADERS.errorCode];
+	if (typeof refusal === 'string') {
+		const outcome = headers[HEADERS.outcome] === OUTCOMES.refusedNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
+		await body.dump();
+		return createFailedEnd(toErrorCode(refusal), {outcome, load, isTargetFault: outcome !== OUTCOMES.refusedNotRun});
+	}
+
+	onAnswered(load);
+	const contentType = String(headers['content-type'] ?? 'application/octet-stream');
+	if (contentType.startsWith('text/event-stream')) {
+		return passStreamOn(options, body);
+	}
+
+	const whole = await readBody(body, WHOLE_ANSWER_LIMIT_BYTES);
+	if (whole.err) {
+		return createFailedEnd(ERROR_CODES.answerMalformed, {load, detail: whole.val.message});
+	}
+
+	answer.holdWhole(statusCode, contentType, whole.val);
+	return {type: 'finished', generatedTokens: parseGeneratedTokens(whole.val)};
+}
+
+async function passStreamOn({answer, progress}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
+	try {
+		for await (const event of splitServerSentEvents(body)) {
+			await answer.sendEvent(event.bytes);
+			if (event.data === STREAM_END) {
+				return {type: 'finished', generatedTokens: progress.generatedTokens};
+			}
+
+			if (event.id !== undefined) {
+				progress.lastEventId = event.id;
+				progress.generatedTokens += 1;
+			}
+		}
+	} catch (error) {
+		const code = error instanceof MalformedStreamError ? ERROR_CODES.answerMalformed : ERROR_CODES.targetFailed;
+		return createFailedEnd(code, {detail: (error as Error).message});
+	}
+
+	return createFailedEnd(ERROR_CODES.targetFailed, {detail: 'the stream ended early'});
+}
+
+function createFailedEnd(
+	code: ErrorCode,
+	options: {outcome?: Outcome; detail?: string; load?: LoadReport | undefined; isTargetFault?: boolean} = {},
+): AttemptEnd {
+	const {outcome = OUTCOMES.refusedUnknown, detail, load, isTargetFault = true} = options;
+	const failure = createFailure(code, {outcome, ...(detail !== undefined && {detail})});
+	return {
+		type: 'failed', failure, load, isTargetFault,
+	};
+}
+
+function toErrorCode(text: string): ErrorCode {
+	return Object.values(ERROR_CODES).find(code => code === text) ?? ERROR_CODES.internal;
+}
+
+function parseLoad(header: string | string[] | undefined): LoadReport | undefined {
+	if (typeof header !== 'string') {
+		return undefined;
+	}
+
+	try {
+		return loadReportSchema.safeParse(JSON.parse(header)).data;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Reads the usage that a model's whole answer states; zero for a plain service. */
+function parseGeneratedTokens(body: Buffer): number {
+	try {
+		const parsed = JSON.parse(body.toString('utf8')) as {usage?: {completion_tokens?: number}};
+		return parsed.usage?.completion_tokens ?? 0;
+	} catch {
+		return 0;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,57 @@
+import {
+	addressSchema, durationSchema, LOG_LEVELS, sizeSchema,
+} from '@damaskspool/runtime';
+import {MEBIBYTE_BYTES, SECOND_MS} from '@damaskspool/shared';
+import {z} from 'zod';
+
+const commonSettings = {
+	instanceId: z.string().min(1),
+	region: z.string().min(1),
+	availabilityZone: z.string().min(1),
+	/** Object API and other services of the platform. */
+	platform: addressSchema,
+	logLevel: z.enum(LOG_LEVELS).default('info'),
+	/** Longest time for which a stop waits for streams to finish. */
+	drainLimit: durationSchema.default(60 * SECOND_MS),
+};
+
+/** Settings of an entry. */
+export const entrySettingsSchema = z.strictObject({
+	role: z.literal('entry'),
+	...commonSettings,
+	/** Address for callers. */
+	listen: addressSchema,
+	/** Address for peers and operators. */
+	control: addressSchema,
+	/** Largest body that is read at all; routes set lower limits. */
+	bodyLimit: sizeSchema.default(16 * MEBIBYTE_BYTES),
+	/** Time between reads of configuration and instance list. */
+	pollInterval: durationSchema.default(SECOND_MS),
+});
+
+/** Settings of a sidecar. */
+export const sidecarSettingsSchema = z.strictObject({
+	role: z.literal('sidecar'),
+	...commonSettings,
+	/** Address for entries. */
+	listen: addressSchema,
+	/** Address of the target beside this process. */
+	target: addressSchema,
+	targetKind: z.enum(['engine', 'plain']),
+	/** Requests that run at the target at once. */
+	concurrency: z.number().int().positive(),
+	/** Memory of an engine in pieces of 1,000 tokens; 0 for a plain service. */
+	pieces: z.number().int().nonnegative().default(0),
+	/** Requests that wait at most. */
+	queueLimit: z.number().int().nonnegative().default(64),
+	/** Time between reads of the target's own report. */
+	reportInterval: durationSchema.default(250),
+});
+
+/** Settings of either role; the role is the first thing checked. */
+export const settingsSchema = z.discriminatedUnion('role', [entrySettingsSchema, sidecarSettingsSchema]);
+
+/** See {@link entrySettingsSchema}. */
+export type EntrySettings = z.output<typeof entrySettingsSchema>;
+/** See {@link sidecarSettingsSchema}. */
+export type SidecarSettings = z.output<typeof sidecarSettingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/sidecar/parseWork.ts
@@ -0,0 +1,40 @@
+import {type IncomingHttpHeaders} from 'node:http';
+import {type Work} from '@damaskspool/core';
+import {HEADERS} from '@damaskspool/shared';
+import {z} from 'zod';
+
+const workHeadersSchema = z.object({
+	[HEADERS.requestId]: z.string().min(1).max(128),
+	[HEADERS.attemptId]: z.string().min(1).max(160),
+	[HEADERS.customerId]: z.string().min(1),
+	[HEADERS.priority]: z.enum(['interactive', 'batch']),
+	[HEADERS.remainingMs]: z.coerce.number().nonnegative(),
+	[HEADERS.promptTokens]: z.coerce.number().int().nonnegative(),
+	[HEADERS.maxTokens]: z.coerce.number().int().nonnegative(),
+	[HEADERS.fingerprint]: z.string(),
+});
+
+/**
+ * Reads what an entry says of the work that it sends.
+ *
+ * @param headers - headers of the attempt
+ * @param nowMs - time of receipt, from which the remaining time counts
+ * @returns the work, or undefined where a header is missing or wrong
+ */
+export function parseWork(headers: IncomingHttpHeaders, nowMs: number): Work | undefined {
+	const {data} = workHeadersSchema.safeParse(headers);
+	if (data === undefined) {
+		return undefined;
+	}
+
+	return {
+		requestId: data[HEADERS.requestId],
+		attemptId: data[HEADERS.attemptId],
+		customerId: data[HEADERS.customerId],
+		priority: data[HEADERS.priority],
+		promptTokens: data[HEADERS.promptTokens],
+		maxTokens: data[HEADERS.maxTokens],
+		deadlineAtMs: nowMs + data[HEADERS.remainingMs],
+		fingerprint: data[HEADERS.fingerprint],
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/stopServer.ts
@@ -0,0 +1,38 @@
+import {type Server} from 'node:http';
+
+/** Time between looks at what is still under way. */
+const DRAIN_POLL_MS = 50;
+
+/** Options of {@link stopServer}. */
+export type StopServerOptions = {
+	readonly server: Server;
+	/** Tells whether work is still under way. */
+	readonly isBusy: () => boolean;
+	/** Longest wait. */
+	readonly limitMs: number;
+};
+
+/**
+ * Closes a server gracefully: work under way ends first, idle connections are
+ * closed at once.
+ *
+ * @param options - server, how to tell that it is busy, and the longest wait
+ */
+export async function stopServer({server, isBusy, limitMs}: StopServerOptions): Promise<void> {
+	const closed = new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	const endAt = performance.now() + limitMs;
+	server.closeIdleConnections();
+	while (isBusy() && performance.now() < endAt) {
+		await new Promise(resolve => {
+			setTimeout(resolve, DRAIN_POLL_MS);
+		});
+		server.closeIdleConnections();
+	}
+
+	server.closeAllConnections();
+	await closed;
+}
--- /dev/null
+++ b/packages/runtime/src/createLogger.ts
@@ -0,0 +1,57 @@
+// Roarr reads this variable once, when it is imported.
+process.env.ROARR_LOG ??= 'true';
+const {Roarr} = await import('roarr');
+
+/** Writes one JSON line a call to standard output. Context must never hold an API key. */
+export type Logger = {
+	readonly debug: (message: string, context?: LogContext) => void;
+	readonly info: (message: string, context?: LogContext) => void;
+	readonly warn: (message: string, context?: LogContext) => void;
+	readonly error: (message: string, context?: LogContext) => void;
+};
+
+/** Plain values that go with a log line. */
+export type LogContext = Readonly<Record<string, unknown>>;
+
+/** Names of log levels, least severe first. */
+export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+
+/** One of {@link LOG_LEVELS}. */
+export type LogLevel = typeof LOG_LEVELS[number];
+
+/** Options of {@link createLogger}. */
+export type LoggerOptions = {
+	readonly program: string;
+	readonly instanceId: string;
+	readonly level?: LogLevel;
+};
+
+/**
+ * Creates the logger of a process.
+ *
+ * @param options - what each line carries, and the least severe level that is written
+ * @returns the logger
+ */
+export function createLogger(options: LoggerOptions): Logger {
+	const {program, instanceId, level = 'info'} = options;
+	const roarr = Roarr.child({program, instanceId});
+	const least = LOG_LEVELS.indexOf(level);
+	const createWriter = (name: LogLevel) => (message: string, context: LogContext = {}) => {
+		if (LOG_LEVELS.indexOf(name) >= least) {
+			roarr[name](toPlainContext(context), message);
+		}
+	};
+
+	return {
+		debug: createWriter('debug'),
+		info: createWriter('info'),
+		warn: createWriter('warn'),
+		error: createWriter('error'),
+	};
+}
+
+function toPlainContext(context: LogContext) {
+	// Written as JSON in any case; this drops undefined fields and calls `toJSON`, which a clone would not.
+	// eslint-disable-next-line unicorn/prefer-structured-clone
+	return JSON.parse(JSON.stringify(context)) as Record<string, string>;
+}
--- /dev/null
+++ b/packages/runtime/src/createObjectApiClient.ts
@@ -0,0 +1,138 @@
+import {Pool} from 'undici';
+import {
+	createFailure, Err, ERROR_CODES, type Failure, Ok, type Result,
+} from '@damaskspool/shared';
+
+/** An object of the platform's object API. */
+export type StoredObject<Value = unknown> = {
+	readonly key: string;
+	/** Rises with each change of any object; zero where the object does not exist. */
+	readonly version: number;
+	readonly value: Value;
+};
+
+/** What a watch saw. */
+export type WatchReply = {
+	/** Version up to which the watch has seen everything. */
+	readonly version: number;
+	readonly changes: readonly StoredObject[];
+};
+
+/** The calls of the platform's object API that the system uses. Every failure is a value. */
+export type ObjectApiClient = {
+	readonly read: (key: string) => Promise<Result<StoredObject | undefined, Failure>>;
+	readonly list: (prefix: string) => Promise<Result<StoredObject[], Failure>>;
+	/** Writes where the stored version is the expected one; zero creates. A lost reply is `storeUnavailable`. */
+	readonly write: (key: string, value: unknown, expectedVersion: number) => Promise<Result<number, Failure>>;
+	readonly remove: (key: string, expectedVersion: number) => Promise<Result<number, Failure>>;
+	/** Waits for changes under a prefix after a version; an empty reply when none came in time. */
+	readonly watch: (prefix: string, afterVersion: number) => Promise<Result<WatchReply, Failure>>;
+	/** Any other call of the platform: instance list, start and stop, usage intake, weight store. */
+	readonly call: (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown) => Promise<Result<unknown, Failure>>;
+	readonly close: () => Promise<void>;
+};
+
+/** Options of {@link createObjectApiClient}. */
+export type ObjectApiClientOptions = {
+	/** `ip:port` of the platform. */
+	readonly address: string;
+	readonly callTimeoutMs?: number;
+	readonly watchTimeoutMs?: number;
+	/** Counts each call, for metrics and the capacity page. */
+	readonly onCall?: (kind: string, bytes: number) => void;
+};
+
+type CallOptions = {
+	readonly kind: string;
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly headers?: Record<string, string>;
+	readonly body?: unknown;
+	readonly timeoutMs?: number;
+};
+
+/**
+ * Creates a client of the platform's object API.
+ *
+ * @param options - address, timeouts and a call counter
+ * @returns the client
+ */
+export function createObjectApiClient(options: ObjectApiClientOptions): ObjectApiClient {
+	const {address, callTimeoutMs = 2000, watchTimeoutMs = 30_000, onCall} = options;
+	const pool = new Pool(`http://${address}`, {connections: 8, connect: {timeout: callTimeoutMs}});
+
+	const send = async (call: CallOptions): Promise<Result<{status: number; body: unknown}, Failure>> => {
+		const text = call.body === undefined ? null : JSON.stringify(call.body);
+		try {
+			const response = await pool.request({
+				method: call.method,
+				path: call.path,
+				headers: {'content-type': 'application/json', ...call.headers},
+				body: text,
+				signal: AbortSignal.timeout(call.timeoutMs ?? callTimeoutMs),
+			});
+			const reply = await response.body.text();
+			onCall?.(call.kind, reply.length + (text?.length ?? 0));
+			if (response.statusCode >= 500) {
+				return Err(createFailure(ERROR_CODES.storeUnavailable, {detail: `status ${response.statusCode}`}));
+			}
+
+			return Ok({status: response.statusCode, body: reply === '' ? undefined : JSON.parse(reply) as unknown});
+		} catch (error) {
+			onCall?.(call.kind, text?.length ?? 0);
+			return Err(createFailure(ERROR_CODES.storeUnavailable, {detail: (error as Error).message}));
+		}
+	};
+
+	const change = async (call: CallOptions): Promise<Result<number, Failure>> => {
+		const reply = await send(call);
+		if (reply.err) {
+			return reply;
+		}
+
+		if (reply.val.status === 412) {
+			return Err(createFailure(ERROR_CODES.versionConflict, {detail: call.path}));
+		}
+
+		return reply.val.status < 300
+			? Ok((reply.val.body as {version: number}).version)
+			: Err(createFailure(ERROR_CODES.storeUnavailable, {detail: `status ${reply.val.status}`}));
+	};
+
+	const toPath = (key: string) => `/objects/${encodeURIComponent(key)}`;
+	return {
+		async read(key) {
+			const reply = await send({kind: 'read', method: 'GET', path: toPath(key)});
+			return reply.map(({status, body}) => status === 404 ? undefined : body as StoredObject);
+		},
+		async list(prefix) {
+			const reply = await send({kind: 'list', method: 'GET', path: `/objects?prefix=${encodeURIComponent(prefix)}`});
+			return reply.map(({body}) => (body as {objects: StoredObject[]}).objects);
+		},
+		write: async (key, value, expectedVersion) => change({
+			kind: 'write', method: 'PUT', path: toPath(key), body: value, headers: {'if-match': String(expectedVersion)},
+		}),
+		remove: async (key, expectedVersion) => change({
+			kind: 'remove', method: 'DELETE', path: toPath(key), headers: {'if-match': String(expectedVersion)},
+		}),
+		async watch(prefix, afterVersion) {
+			const query = `prefix=${encodeURIComponent(prefix)}&after=${afterVersion}&waitMs=${watchTimeoutMs}`;
+			const reply = await send({
+				kind: 'watch', method: 'GET', path: `/watch?${query}`, timeoutMs: watchTimeoutMs + callTimeoutMs,
+			});
+			return reply.map(({body}) => body as WatchReply);
+		},
+		async call(method, path, body) {
+			const reply = await send({
+				kind: path.split('/')[1] ?? path, method, path, body,
+			});
+			if (reply.err || reply.val.status < 400) {
+				return reply.map(value => value.body);
+			}
+
+			const code = reply.val.status === 412 ? ERROR_CODES.versionConflict : ERROR_CODES.storeUnavailable;
+			return Err(createFailure(code, {detail: `status ${reply.val.status} of ${path}`}));
+		},
+		close: async () => pool.destroy(),
+	};
+}
--- /dev/null
+++ b/packages/runtime/src/createRpc.ts
@@ -0,0 +1,109 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {JSONRPCClient, JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {Agent, request} from 'undici';
+import {
+	createFailure, Err, ERROR_CODES, type Failure, MEBIBYTE_BYTES, Ok, type Result,
+} from '@damaskspool/shared';
+import {readBody} from './readBody.js';
+
+/** Path at which every process of the system takes JSON-RPC 2.0 calls of its peers. */
+export const RPC_PATH = '/rpc';
+/** Largest call. */
+const RPC_BODY_LIMIT_BYTES = 4 * MEBIBYTE_BYTES;
+
+/** Methods by name; what they throw reaches the peer as a JSON-RPC error. */
+export type RpcMethods = Readonly<Record<string, (parameters: unknown, context: RpcContext) => unknown>>;
+
+/** What a method may know of its call. */
+export type RpcContext = {
+	/** Value of the Authorization header, for operators' calls. */
+	readonly authorization: string | undefined;
+};
+
+/**
+ * Creates the handler of HTTP requests that carry JSON-RPC calls.
+ *
+ * @param methods - methods by name
+ * @returns a handler that answers the request
+ */
+export function createRpcHandler(methods: RpcMethods): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+	const server = new JSONRPCServer<RpcContext>({
+		errorListener() {
+			// The peer is told; nothing is logged twice.
+		},
+	});
+	for (const [name, method] of Object.entries(methods)) {
+		server.addMethod(name, method);
+	}
+
+	return async (incoming, response) => {
+		const body = await readBody(incoming, RPC_BODY_LIMIT_BYTES);
+		if (body.err) {
+			response.writeHead(413).end();
+			return;
+		}
+
+		const context = {authorization: incoming.headers.authorization};
+		const reply = await server.receiveJSON(body.val.toString('utf8'), context);
+		const text = JSON.stringify(reply ?? null);
+		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+		response.end(text);
+	};
+}
+
+/** Options of {@link createRpcCaller}. */
+export type RpcCallerOptions = {
+	readonly timeoutMs?: number;
+	/** Counts each call, for metrics and the capacity page. */
+	readonly onCall?: (method: string, bytes: number) => void;
+};
+
+/** Calls methods of peers. */
+export type RpcCaller = {
+	readonly call: (address: string, method: string, parameters: unknown, authorization?: string) => Promise<Result<unknown, Failure>>;
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * Creates a caller of JSON-RPC methods over HTTP.
+ *
+ * @param options - time limit of a call and a call counter
+ * @returns the caller
+ */
+export function createRpcCaller(options: RpcCallerOptions = {}): RpcCaller {
+	const {timeoutMs = 1000, onCall} = options;
+	const agent = new Agent({connections: 2, keepAliveTimeout: 30_000, connect: {timeout: timeoutMs}});
+	let nextId = 0;
+
+	return {
+
+		async call(address, method, parameters, authorization) {
+			const client: JSONRPCClient = new JSONRPCClient(
+				async (payload: JSONRPCRequest) => {
+					const text = JSON.stringify(payload);
+					const response = await request(`http://${address}${RPC_PATH}`, {
+						dispatcher: agent,
+						method: 'POST',
+						headers: {'content-type': 'application/json', ...(authorization !== undefined && {authorization})},
+						body: text,
+						signal: AbortSignal.timeout(timeoutMs),
+					});
+					const reply = await response.body.text();
+					onCall?.(method, text.length + reply.length);
+					client.receive(JSON.parse(reply) as Parameters<JSONRPCClient['receive']>[0]);
+				},
+				() => {
+					nextId += 1;
+					return nextId;
+				},
+			);
+			try {
+				return Ok(await client.request(method, parameters as Record<string, unknown>));
+			} catch (error) {
+				return Err(createFailure(ERROR_CODES.peerUnreachable, {detail: `${method}: ${(error as Error).message}`}));
+			}
+		},
+		close: async () => agent.destroy(),
+	};
+}
--- /dev/null
+++ b/packages/runtime/src/readSettings.ts
@@ -0,0 +1,140 @@
+import {readFile} from 'node:fs/promises';
+import bytes from 'bytes';
+import {
+	findNodeAtLocation, parseTree, printParseErrorCode, getNodeValue, type Node, type ParseError,
+} from 'jsonc-parser';
+import ms from 'ms';
+import {z} from 'zod';
+import {Err, Ok, type Result} from '@damaskspool/shared';
+
+/** One thing that is wrong in a settings file. */
+export type SettingsProblem = {
+	readonly file: string;
+	/** Counted from 1. */
+	readonly line: number;
+	/** Counted from 1. */
+	readonly column: number;
+	/** What was found and what was expected. */
+	readonly message: string;
+};
+
+/** A duration such as `250 ms` or `5 s`, as milliseconds. */
+export const durationSchema = z.string().transform((text, context) => {
+	const value = /^\d+(?:\.\d+)? (?:ms|s|m|h)$/v.test(text) ? ms(text as ms.StringValue) : undefined;
+	if (value === undefined) {
+		context.addIssue({code: 'custom', message: `expected a duration such as "250 ms", "5 s", "2 m" or "1 h", found "${text}"`});
+		return z.NEVER;
+	}
+
+	return value;
+});
+
+/** A size such as `64 KiB` or `8 MiB`, as bytes. */
+export const sizeSchema = z.string().transform((text, context) => {
+	const value = /^\d+(?:\.\d+)? (?:B|KiB|MiB)$/v.test(text) ? bytes.parse(text.replace('iB', 'B')) : null;
+	if (value === null) {
+		context.addIssue({code: 'custom', message: `expected a size such as "512 B", "64 KiB" or "8 MiB", found "${text}"`});
+		return z.NEVER;
+	}
+
+	return value;
+});
+
+/** An address as `ip:port`; names are not looked up. */
+export const addressSchema = z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, 'expected an address as "ip:port", such as "127.0.0.1:8080"');
+
+/**
+ * Reads and checks a settings file in JSON with comments.
+ *
+ * @param file - path of the file
+ * @param schema - what the settings must look like
+ * @returns the settings, or every problem with its place
+ */
+export async function readSettings<Schema extends z.ZodType>(
+	file: string,
+	schema: Schema,
+): Promise<Result<z.output<Schema>, SettingsProblem[]>> {
+	let text: string;
+	try {
+		text = await readFile(file, 'utf8');
+	} catch (error) {
+		return Err([{
+			file, line: 1, column: 1, message: `cannot be read: ${(error as Error).message}`,
+		}]);
+	}
+
+	return checkSettings({file, text, schema});
+}
+
+/** Options of {@link checkSettings}. */
+export type CheckSettingsOptions<Schema extends z.ZodType> = {
+	readonly file: string;
+	readonly text: string;
+	readonly schema: Schema;
+};
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param options - file name for messages, its text, and the schema
+ * @returns the settings, or every problem with its place
+ */
+export function checkSettings<Schema extends z.ZodType>(options: CheckSettingsOptions<Schema>): Result<z.output<Schema>, SettingsProblem[]> {
+	const {file, text, schema} = options;
+	const parseErrors: ParseError[] = [];
+	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
+	if (root === undefined || parseErrors.length > 0) {
+		const problems = parseErrors.map(({error, offset}) => ({
+			file, ...locateOffset(text, offset), message: `not JSON with comments: ${printParseErrorCode(error)}`,
+		}));
+		return Err(problems.length > 0
+			? problems
+			: [{
+				file, line: 1, column: 1, message: 'expected an object, found an empty file',
+			}]);
+	}
+
+	const checked = schema.safeParse(getNodeValue(root));
+	if (checked.success) {
+		return Ok(checked.data);
+	}
+
+	return Err(checked.error.issues.flatMap(issue => toProblems(file, text, root, issue)));
+}
+
+/**
+ * Writes a problem on one line.
+ *
+ * @param problem - the problem
+ * @returns `file:line:column: message`
+ */
+export function formatProblem({file, line, column, message}: SettingsProblem): string {
+	return `${file}:${line}:${column}: ${message}`;
+}
+
+function toProblems(file: string, text: string, root: Node, issue: z.core.$ZodIssue): SettingsProblem[] {
+	const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
+	const place = path.join('.');
+	if (issue.code === 'unrecognized_keys') {
+		return issue.keys.map(key => {
+			const node = findNodeAtLocation(root, [...path, key])?.parent;
+			const where = place === '' ? 'the settings' : place;
+			return {file, ...locateOffset(text, node?.offset ?? 0), message: `unknown key "${key}" in ${where}`};
+		});
+	}
+
+	// A missing key has no node: the nearest enclosing one is named instead.
+	let depth = path.length;
+	let node = findNodeAtLocation(root, path);
+	while (node === undefined && depth > 0) {
+		depth -= 1;
+		node = findNodeAtLocation(root, path.slice(0, depth));
+	}
+
+	return [{file, ...locateOffset(text, node?.offset ?? 0), message: place === '' ? issue.message : `${place}: ${issue.message}`}];
+}
+
+function locateOffset(text: string, offset: number): {line: number; column: number} {
+	const before = text.slice(0, offset).split('\n');
+	return {line: before.length, column: (before.at(-1)?.length ?? 0) + 1};
+}
--- /dev/null
+++ b/packages/shared/src/errors.ts
@@ -0,0 +1,105 @@
+import {OUTCOMES, type Outcome} from './outcomes.js';
+
+/** Codes of every error that a caller, an operator or a peer process can be told. */
+export const ERROR_CODES = {
+	keyMissing: 'key_missing',
+	keyUnknown: 'key_unknown',
+	keyInBody: 'key_in_body',
+	keysStale: 'keys_stale',
+	bodyTooLarge: 'body_too_large',
+	bodyNotJson: 'body_not_json',
+	headerInvalid: 'header_invalid',
+	routeUnknown: 'route_unknown',
+	modelUnknown: 'model_unknown',
+	notReady: 'not_ready',
+	noTarget: 'no_target',
+	queueFull: 'queue_full',
+	leaving: 'leaving',
+	deadlineExceeded: 'deadline_exceeded',
+	deadlineHopeless: 'deadline_hopeless',
+	rateLimited: 'rate_limited',
+	quarantined: 'quarantined',
+	targetUnreachable: 'target_unreachable',
+	targetFailed: 'target_failed',
+	answerMalformed: 'answer_malformed',
+	answerCrossed: 'answer_crossed',
+	duplicateCall: 'duplicate_call',
+	storeUnavailable: 'store_unavailable',
+	versionConflict: 'version_conflict',
+	settingsInvalid: 'settings_invalid',
+	queryInvalid: 'query_invalid',
+	peerUnreachable: 'peer_unreachable',
+	internal: 'internal',
+} as const;
+
+/** One of {@link ERROR_CODES}. */
+export type ErrorCode = typeof ERROR_CODES[keyof typeof ERROR_CODES];
+
+/** What is said of an error to a person, and the HTTP status that goes with it. */
+type ErrorDescription = {
+	readonly status: number;
+	readonly message: string;
+};
+
+/** The one table of error messages. */
+export const ERROR_DESCRIPTIONS: Readonly<Record<ErrorCode, ErrorDescription>> = {
+	key_missing: {status: 401, message: 'this route needs an API key in the Authorization header'},
+	key_unknown: {status: 401, message: 'the API key is not known or was withdrawn'},
+	key_in_body: {status: 400, message: 'the request carries its API key outside the Authorization header'},
+	keys_stale: {status: 503, message: 'this entry cannot confirm that the API key is still valid'},
+	body_too_large: {status: 413, message: 'the request body is over the limit of its route'},
+	body_not_json: {status: 400, message: 'the request body is not the JSON object that the route takes'},
+	header_invalid: {status: 400, message: 'the request framing or a header is not valid'},
+	route_unknown: {status: 404, message: 'no service is offered at this path and method'},
+	model_unknown: {status: 404, message: 'the model is not offered by this service'},
+	not_ready: {status: 503, message: 'this entry has not read its configuration yet'},
+	no_target: {status: 503, message: 'no target can take the request now'},
+	queue_full: {status: 429, message: 'the queue for this service is full'},
+	leaving: {status: 503, message: 'the instance is leaving and takes no new work'},
+	deadline_exceeded: {status: 504, message: 'the deadline of the request passed'},
+	deadline_hopeless: {status: 503, message: 'the request could not have met its deadline'},
+	rate_limited: {status: 429, message: 'the customer is over its rate'},
+	quarantined: {status: 422, message: 'this request was running each time a target crashed and is not run again'},
+	target_unreachable: {status: 502, message: 'the target could not be reached'},
+	target_failed: {status: 502, message: 'the target failed while it ran the request'},
+	answer_malformed: {status: 502, message: 'the answer of the target was malformed'},
+	answer_crossed: {status: 502, message: 'the answer of the target belongs to another request'},
+	duplicate_call: {status: 409, message: 'a call with this Idempotency-Key is under way or ended without a known answer'},
+	store_unavailable: {status: 503, message: 'the object API of the platform does not answer'},
+	version_conflict: {status: 409, message: 'the object was changed by somebody else'},
+	settings_invalid: {status: 400, message: 'the settings are not valid'},
+	query_invalid: {status: 400, message: 'the query or command is not valid'},
+	peer_unreachable: {status: 502, message: 'a process of the system did not answer'},
+	internal: {status: 500, message: 'an internal error'},
+};
+
+/** An error as a value. */
+export type Failure = {
+	readonly code: ErrorCode;
+	/** Outcome for the caller, where the failure ends a request. */
+	readonly outcome: Outcome;
+	readonly message: string;
+	/** Milliseconds after which to try again, where that helps. */
+	readonly retryAfterMs?: number;
+};
+
+/**
+ * Builds a failure from its code.
+ *
+ * @param code - what went wrong
+ * @param options - outcome (refused-not-run where left out), detail appended to the message, time to wait before a retry
+ * @returns the failure
+ */
+export function createFailure(
+	code: ErrorCode,
+	options: {outcome?: Outcome; detail?: string; retryAfterMs?: number} = {},
+): Failure {
+	const {outcome = OUTCOMES.refusedNotRun, detail, retryAfterMs} = options;
+	const {message} = ERROR_DESCRIPTIONS[code];
+	return {
+		code,
+		outcome,
+		message: detail === undefined ? message : `${message}: ${detail}`,
+		...(retryAfterMs !== undefined && {retryAfterMs}),
+	};
+}
--- /dev/null
+++ b/packages/shared/src/loadReport.ts
@@ -0,0 +1,29 @@
+import {z} from 'zod';
+
+/**
+ * What a sidecar reports of its target, on each answer and between answers.
+ * Tokens and pieces are counts; a piece is TOKENS_PER_MEMORY_PIECE tokens of KV cache.
+ */
+export const loadReportSchema = z.object({
+	targetId: z.string(),
+	/** Role of the target: what share of the batch it gives to prefill. */
+	role: z.enum(['mixed', 'prefill', 'decode']),
+	/** Life of the target, as in docs/GLOSSARY.md. */
+	state: z.enum(['starting', 'serving', 'draining', 'changingRole', 'leaving', 'gone']),
+	models: z.array(z.string()),
+	running: z.number().int().nonnegative(),
+	waiting: z.number().int().nonnegative(),
+	queuedPrefillTokens: z.number().nonnegative(),
+	freePieces: z.number().nonnegative(),
+	totalPieces: z.number().nonnegative(),
+	/** Milliseconds since the target itself reported the figures. */
+	ageMs: z.number().nonnegative(),
+});
+
+/** See {@link loadReportSchema}. */
+export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/** Role of a model engine. */
+export type TargetRole = LoadReport['role'];
+/** Life state of a target. */
+export type TargetState = LoadReport['state'];
--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -0,0 +1,115 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
+import {type StandIn} from '../serveJson.js';
+
+/** What the proxy does to connections through it. */
+export type ProxyFault
+	= | {readonly kind: 'none'}
+	/** Breaks every connection and takes no new one. */
+		| {readonly kind: 'cut'}
+	/** Holds every chunk, both ways. */
+		| {readonly kind: 'delay'; readonly delayMs: number}
+	/** Swallows what the client sends. */
+		| {readonly kind: 'loseRequests'}
+	/** Swallows what the server sends. */
+		| {readonly kind: 'loseReplies'}
+	/** Passes requests on and breaks the connection when the reply begins. */
+		| {readonly kind: 'breakOnReply'};
+
+/** A running proxy. */
+export type FaultProxy = StandIn & {readonly setFault: (fault: ProxyFault) => void};
+
+type Direction = 'request' | 'reply';
+
+/** What becomes of a chunk, by fault and direction. */
+const CHUNK_FATES: Readonly<Record<ProxyFault['kind'], Readonly<Record<Direction, 'pass' | 'lose' | 'break'>>>> = {
+	none: {request: 'pass', reply: 'pass'},
+	cut: {request: 'break', reply: 'break'},
+	delay: {request: 'pass', reply: 'pass'},
+	loseRequests: {request: 'lose', reply: 'pass'},
+	loseReplies: {request: 'pass', reply: 'lose'},
+	breakOnReply: {request: 'pass', reply: 'break'},
+};
+
+/**
+ * Starts a TCP proxy on loopback whose faults are switched while it runs.
+ *
+ * @param targetAddress - `ip:port` behind the proxy
+ * @returns the running proxy, without faults
+ */
+export async function createFaultProxy(targetAddress: string): Promise<FaultProxy> {
+	const sockets = new Set<Socket>();
+	const [host, port] = targetAddress.split(':');
+	let fault: ProxyFault = {kind: 'none'};
+
+	const pump = (from: Socket, to: Socket, direction: Direction) => {
+		sockets.add(from);
+		from.on('data', chunk => {
+			const fate = CHUNK_FATES[fault.kind][direction];
+			if (fate === 'break') {
+				from.destroy();
+				to.destroy();
+			} else if (fate === 'pass' && fault.kind === 'delay') {
+				setTimeout(() => {
+					to.write(chunk);
+				}, fault.delayMs);
+			} else if (fate === 'pass' && !to.write(chunk)) {
+				from.pause();
+				to.once('drain', () => {
+					from.resume();
+				});
+			}
+		});
+		from.on('end', () => {
+			// Behind every chunk that is still held.
+			setTimeout(() => {
+				to.end();
+			}, fault.kind === 'delay' ? fault.delayMs : 0);
+		});
+		from.on('error', () => {
+			to.destroy();
+		});
+		from.on('close', () => {
+			sockets.delete(from);
+			if (from.errored !== null || fault.kind === 'cut') {
+				to.destroy();
+			}
+		});
+	};
+
+	const server = createServer(client => {
+		if (fault.kind === 'cut') {
+			client.destroy();
+			return;
+		}
+
+		const upstream = connect(Number(port), host);
+		pump(client, upstream, 'request');
+		pump(upstream, client, 'reply');
+	});
+	const destroyAll = () => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	};
+
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		setFault(next) {
+			fault = next;
+			if (next.kind === 'cut') {
+				destroyAll();
+			}
+		},
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			destroyAll();
+			await closed;
+		},
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/createObjectStore.ts
@@ -0,0 +1,89 @@
+/** An object with its version. */
+export type StoredValue = {
+	readonly key: string;
+	/** Zero once removed. */
+	readonly version: number;
+	readonly value: unknown;
+};
+
+/** Objects with versions, conditional updates and watches, held in memory. */
+export type ObjectStore = {
+	readonly read: (key: string) => StoredValue | undefined;
+	readonly list: (prefix: string) => StoredValue[];
+	/** Writes where the version fits; undefined is a conflict. */
+	readonly write: (key: string, value: unknown, expectedVersion: number) => number | undefined;
+	readonly remove: (key: string, expectedVersion: number) => number | undefined;
+	/** Resolves with the changes under a prefix after a version, or with none when the time is over. */
+	readonly watch: (prefix: string, afterVersion: number, waitMs: number) => Promise<{version: number; changes: StoredValue[]}>;
+	readonly countWatches: () => number;
+};
+
+type Waiter = {readonly prefix: string; readonly wake: () => void};
+
+/**
+ * Creates an empty store. One counter numbers all changes, so that a watch
+ * resumes from a single version.
+ *
+ * @returns the store
+ */
+export function createObjectStore(): ObjectStore {
+	const objects = new Map<string, StoredValue>();
+	const removed = new Map<string, StoredValue>();
+	const waiters = new Set<Waiter>();
+	let lastVersion = 0;
+
+	const change = (key: string, value: unknown, expectedVersion: number): number | undefined => {
+		if ((objects.get(key)?.version ?? 0) !== expectedVersion) {
+			return undefined;
+		}
+
+		lastVersion += 1;
+		if (value === undefined) {
+			objects.delete(key);
+			removed.set(key, {key, version: lastVersion, value: null});
+		} else {
+			removed.delete(key);
+			objects.set(key, {key, version: lastVersion, value});
+		}
+
+		for (const waiter of waiters) {
+			if (key.startsWith(waiter.prefix)) {
+				waiter.wake();
+			}
+		}
+
+		return lastVersion;
+	};
+
+	const listChanges = (prefix: string, afterVersion: number) => [...objects.values(), ...[...removed.values()].map(object => ({...object, isRemoved: true}))]
+		.filter(object => object.key.startsWith(prefix) && object.version > afterVersion)
+		.toSorted((left, right) => left.version - right.version);
+
+	return {
+		read: key => objects.get(key),
+		list: prefix => [...objects.values()].filter(object => object.key.startsWith(prefix)),
+		write: (key, value, expectedVersion) => change(key, value, expectedVersion),
+		remove: (key, expectedVersion) => change(key, undefined, expectedVersion),
+		countWatches: () => waiters.size,
+		async watch(prefix, afterVersion, waitMs) {
+			if (listChanges(prefix, afterVersion).length === 0) {
+				await new Promise<void>(resolve => {
+					const timer = setTimeout(() => {
+						waiter.wake();
+					}, waitMs);
+					const waiter: Waiter = {
+						prefix,
+						wake() {
+							clearTimeout(timer);
+							waiters.delete(waiter);
+							resolve();
+						},
+					};
+					waiters.add(waiter);
+				});
+			}
+
+			return {version: lastVersion, changes: listChanges(prefix, afterVersion)};
+		},
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/createPlatform.ts
@@ -0,0 +1,224 @@
+import {type ServerResponse} from 'node:http';
+import {type InstanceRecord} from '@damaskspool/shared';
+import {
+	sendJson, serveJson, type StandIn, type StandInRequest,
+} from '../serveJson.js';
+import {createObjectStore, type ObjectStore} from './createObjectStore.js';
+
+/** How the platform answers: as usual, not at all, late, or with its effect done and the reply lost. */
+export type PlatformFault
+	= | {readonly kind: 'none'}
+		| {readonly kind: 'down'}
+		| {readonly kind: 'slow'; readonly delayMs: number}
+		| {readonly kind: 'replyLost'};
+
+/** One call of the interface that starts and stops targets. */
+export type TargetOrder = {
+	readonly action: 'start' | 'stop';
+	readonly availabilityZone: string;
+	readonly idempotencyKey: string;
+	readonly targetId: string;
+	/** Who asked, as said in the call. */
+	readonly orderedBy: string;
+};
+
+/** One usage report that was taken in. */
+export type UsageReport = {
+	readonly window: string;
+	readonly body: unknown;
+	readonly reportedBy: string;
+};
+
+/** Options of {@link createPlatform}. */
+export type PlatformOptions = {
+	readonly port?: number;
+	/** Time by which the instance list lags. */
+	readonly listLagMs?: number;
+	/** Loads from the weight store that may start in a second. */
+	readonly weightLoadsPerSecond?: number;
+	/** Starts or stops a target in earnest; returns the identifier of a target that is being started. */
+	readonly onTargetOrder?: (order: TargetOrder) => string;
+};
+
+/** A running platform. */
+export type Platform = StandIn & {
+	readonly store: ObjectStore;
+	readonly setFault: (fault: PlatformFault) => void;
+	/** Puts an instance on the list, or changes it, after the lag. */
+	readonly setInstance: (instance: InstanceRecord) => void;
+	readonly removeInstance: (instanceId: string) => void;
+	readonly orders: readonly TargetOrder[];
+	readonly usageReports: readonly UsageReport[];
+	/** Calls by kind: read, list, write, remove, watch, instances, targets, usage, weights. */
+	readonly calls: ReadonlyMap<string, number>;
+};
+
+/**
+ * Starts a stand-in of the platform: object API, instance list, start and stop
+ * by availability zone, usage intake and weight store.
+ *
+ * @param options - lag and rates
+ * @returns the running platform
+ */
+export async function createPlatform(options: PlatformOptions = {}): Promise<Platform> {
+	const {port, listLagMs = 0, weightLoadsPerSecond = 2, onTargetOrder} = options;
+	const store = createObjectStore();
+	const instances = new Map<string, InstanceRecord>();
+	const calls = new Map<string, number>();
+	const orders: TargetOrder[] = [];
+	const usageReports: UsageReport[] = [];
+	const orderReplies = new Map<string, string>();
+	let fault: PlatformFault = {kind: 'none'};
+	let nextLoadAtMs = 0;
+
+	const afterLag = (change: () => void) => {
+		if (listLagMs === 0) {
+			change();
+		} else {
+			setTimeout(change, listLagMs).unref();
+		}
+	};
+
+	const answerVersion = (response: ServerResponse, version: number | undefined) => {
+		sendJson(response, version === undefined ? 412 : 200, {version: version ?? 0});
+	};
+
+	type Route = {
+		readonly kind: string;
+		readonly matches: (request: StandInRequest) => boolean;
+		readonly answer: (request: StandInRequest, response: ServerResponse) => void | Promise<void>;
+	};
+	const readKey = (request: StandInRequest) => decodeURIComponent(request.path.slice('/objects/'.length));
+	const isObject = (request: StandInRequest, method: string) => request.method === method && request.path.startsWith('/objects/');
+	const routes: readonly Route[] = [
+		{
+			kind: 'read',
+			matches: request => isObject(request, 'GET'),
+			answer(request, response) {
+				const object = store.read(readKey(request));
+				sendJson(response, object === undefined ? 404 : 200, object ?? {});
+			},
+		},
+		{
+			kind: 'write',
+			matches: request => isObject(request, 'PUT'),
+			answer(request, response) {
+				answerVersion(response, store.write(readKey(request), JSON.parse(request.body), Number(request.headers['if-match'])));
+			},
+		},
+		{
+			kind: 'remove',
+			matches: request => isObject(request, 'DELETE'),
+			answer(request, response) {
+				answerVersion(response, store.remove(readKey(request), Number(request.headers['if-match'])));
+			},
+		},
+		{
+			kind: 'list',
+			matches: request => request.method === 'GET' && request.path === '/objects',
+			answer(request, response) {
+				sendJson(response, 200, {objects: store.list(request.query.get('prefix') ?? '')});
+			},
+		},
+		{
+			kind: 'watch',
+			matches: request => request.path === '/watch',
+			async answer({query}, response) {
+				sendJson(response, 200, await store.watch(query.get('prefix') ?? '', Number(query.get('after')), Number(query.get('waitMs'))));
+			},
+		},
+		{
+			kind: 'instances',
+			matches: request => request.path === '/instances',
+			answer(_request, response) {
+				sendJson(response, 200, {instances: [...instances.values()]});
+			},
+		},
+		{
+			kind: 'targets',
+			matches: request => request.method === 'POST' && request.path === '/targets',
+			answer(request, response) {
+				const order = JSON.parse(request.body) as TargetOrder;
+				let targetId = orderReplies.get(order.idempotencyKey);
+				if (targetId === undefined) {
+					orders.push(order);
+					targetId = onTargetOrder?.(order) ?? order.targetId;
+					orderReplies.set(order.idempotencyKey, targetId);
+				}
+
+				sendJson(response, 200, {targetId});
+			},
+		},
+		{
+			kind: 'usage',
+			matches: request => request.method === 'POST' && request.path === '/usage',
+			answer(request, response) {
+				usageReports.push(JSON.parse(request.body) as UsageReport);
+				sendJson(response, 200, {});
+			},
+		},
+		{
+			kind: 'weights',
+			matches: request => request.method === 'POST' && request.path === '/weights',
+			answer(_request, response) {
+				const now = performance.now();
+				const isAllowed = now >= nextLoadAtMs;
+				if (isAllowed) {
+					nextLoadAtMs = now + (1000 / weightLoadsPerSecond);
+				}
+
+				sendJson(response, isAllowed ? 200 : 429, {retryAfterMs: Math.max(0, nextLoadAtMs - now)});
+			},
+		},
+	];
+
+	const server = await serveJson(async (request, response) => {
+		const route = routes.find(candidate => candidate.matches(request));
+		if (route === undefined) {
+			sendJson(response, 404, {});
+			return;
+		}
+
+		calls.set(route.kind, (calls.get(route.kind) ?? 0) + 1);
+		if (fault.kind === 'down') {
+			response.destroy();
+			return;
+		}
+
+		if (fault.kind === 'slow') {
+			const {delayMs} = fault;
+			await new Promise(resolve => {
+				setTimeout(resolve, delayMs);
+			});
+		}
+
+		if (fault.kind === 'replyLost') {
+			response.end = function () {
+				response.destroy();
+				return response;
+			};
+		}
+
+		await route.answer(request, response);
+	}, port);
+	return {
+		...server,
+		store,
+		orders,
+		usageReports,
+		calls,
+		setFault(next) {
+			fault = next;
+		},
+		setInstance(instance) {
+			afterLag(() => {
+				instances.set(instance.instanceId, instance);
+			});
+		},
+		removeInstance(instanceId) {
+			afterLag(() => {
+				instances.delete(instanceId);
+			});
+		},
+	};
+}
