Split both roles of the daemon into parts, and add slots for what follows

Cause: one file per role held every effect handler, poll and RPC method, so that each further matter would have grown the same two files.

Change: an entry and a sidecar are lists of parts, each with its effect handlers, RPC methods, gauges, start and stop.

--- /dev/null
+++ b/packages/bench/src/run-bench.ts
@@ -0,0 +1,18 @@
+/** Program of `npm run bench`: runs one experiment by name. */
+import process from 'node:process';
+
+/** An experiment: takes its own arguments and returns the exit code. */
+export type Experiment = (argv: readonly string[]) => Promise<number>;
+
+/** Experiments by name, loaded when they are run. */
+const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {};
+
+const [name = '', ...argv] = process.argv.slice(2);
+const load = EXPERIMENTS[name];
+if (load === undefined) {
+	console.error(`usage: npm run bench -- NAME [options]; NAME is one of ${Object.keys(EXPERIMENTS).join(', ')}`);
+	process.exit(name === '--help' ? 0 : 2);
+}
+
+const experiment = await load();
+process.exit(await experiment(argv));
--- a/packages/core/src/admission/admissionHandlers.ts
+++ b/packages/core/src/admission/admissionHandlers.ts
@@ -23,11 +23,13 @@
 	},
 
 	'work.answered'({admission}, {attemptId}) {
+		admission.prefillTokensTotal += admission.prefillingTokens.get(attemptId) ?? 0;
 		admission.prefillingTokens.delete(attemptId);
 		return [];
 	},
 
-	'work.ended'({admission}, {attemptId}) {
+	'work.ended'({admission}, {attemptId, generatedTokens}) {
+		admission.generatedTokensTotal += generatedTokens;
 		releaseWork(admission, attemptId);
 		return startFittingWork(admission);
 	},
--- a/packages/core/src/admission/admissionState.ts
+++ b/packages/core/src/admission/admissionState.ts
@@ -36,6 +36,8 @@
 	usedPieces: number;
 	/** Prompt tokens of running work that has produced no token yet. */
 	prefillingTokens: Map<string, number>;
+	prefillTokensTotal: number;
+	generatedTokensTotal: number;
 	/** When the target last reported of itself. */
 	reportedAtMs: number;
 };
@@ -85,6 +87,8 @@
 		queuedPrefillTokens: [...prefilling, ...queued].reduce((sum, tokens) => sum + tokens, 0),
 		freePieces: Math.max(0, state.capacity.pieces - state.usedPieces),
 		totalPieces: state.capacity.pieces,
+		prefillTokensTotal: state.prefillTokensTotal,
+		generatedTokensTotal: state.generatedTokensTotal,
 		ageMs: Math.max(0, nowMs - state.reportedAtMs),
 	};
 }
--- a/packages/core/src/configuration/configurationHandlers.ts
+++ b/packages/core/src/configuration/configurationHandlers.ts
@@ -6,7 +6,8 @@
 
 /** Handlers by which an entry puts configurations in force. */
 export const configurationHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
-	'configuration.read'(state, {configuration}) {
+	'configuration.read'(state, {configuration, nowMs}) {
+		state.configuration.confirmedAtMs = nowMs;
 		if (!applyConfiguration(state.configuration, configuration)) {
 			return [];
 		}
--- a/packages/core/src/configuration/configurationState.ts
+++ b/packages/core/src/configuration/configurationState.ts
@@ -15,6 +15,8 @@
 export type ConfigurationState = {
 	/** Minus one until the first configuration was read. */
 	revision: number;
+	/** When the store, or a peer with a current view, last confirmed the revision in force. */
+	confirmedAtMs: number;
 	services: Map<string, ServiceConfiguration>;
 	customers: Map<string, CustomerConfiguration>;
 	customerIdByKeyHash: Map<string, string>;
@@ -30,6 +32,7 @@
 export function createConfigurationState(): ConfigurationState {
 	return {
 		revision: -1,
+		confirmedAtMs: Number.NEGATIVE_INFINITY,
 		services: new Map(),
 		customers: new Map(),
 		customerIdByKeyHash: new Map(),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,3 +17,4 @@
 export * from './request/requestMachine.js';
 export * from './request/requestRecord.js';
 export * from './routing/chooseTarget.js';
+export * from './planning/zonePlan.js';
--- /dev/null
+++ b/packages/core/src/planning/zonePlan.ts
@@ -0,0 +1,59 @@
+import {type TargetRole, type TargetState} from '@damaskspool/shared';
+
+/** What a plan knows of one target of its availability zone. */
+export type PlannedTarget = {
+	readonly targetId: string;
+	readonly serviceId: string;
+	readonly role: TargetRole;
+	readonly state: TargetState;
+	readonly models: readonly string[];
+	/** When the target last changed its role or began to serve. */
+	readonly inRoleSinceMs: number;
+	readonly queuedPrefillTokens: number;
+	readonly running: number;
+	readonly freePieces: number;
+	readonly totalPieces: number;
+};
+
+/** Work that callers ask of one service in one availability zone. Rates are per second. */
+export type ServiceDemand = {
+	readonly serviceId: string;
+	readonly shortPrefillTokensRate: number;
+	readonly longPrefillTokensRate: number;
+	readonly shortGeneratedTokensRate: number;
+	readonly longGeneratedTokensRate: number;
+};
+
+/** Everything that a plan is made from. */
+export type ZonePlanInput = {
+	readonly nowMs: number;
+	readonly availabilityZone: string;
+	readonly targets: readonly PlannedTarget[];
+	readonly demands: readonly ServiceDemand[];
+};
+
+/** The one step that a zone takes next. A step is finished before the next is planned. */
+export type ZoneStep
+	= | {readonly kind: 'none'}
+		| {readonly kind: 'changeRole'; readonly targetId: string; readonly role: TargetRole}
+		| {readonly kind: 'loadModel'; readonly targetId: string; readonly modelId: string}
+		| {readonly kind: 'startTarget'; readonly serviceId: string}
+		| {readonly kind: 'stopTarget'; readonly targetId: string};
+
+/** A step with its reason, which is recorded. */
+export type ZonePlan = {
+	readonly step: ZoneStep;
+	readonly reason: string;
+};
+
+/** Plans the next step of one availability zone. It is pure; the fleet duty's holder carries the step out. */
+export type PlanZone = (input: ZonePlanInput) => ZonePlan;
+
+/**
+ * Leaves the zone as it is.
+ *
+ * @returns no step
+ */
+export function planNothing(): ZonePlan {
+	return {step: {kind: 'none'}, reason: 'no planner is set'};
+}
--- a/packages/core/src/reducer/sidecarState.ts
+++ b/packages/core/src/reducer/sidecarState.ts
@@ -33,6 +33,8 @@
 			waiting: [],
 			usedPieces: 0,
 			prefillingTokens: new Map(),
+			prefillTokensTotal: 0,
+			generatedTokensTotal: 0,
 			reportedAtMs: 0,
 		},
 	};
--- a/packages/daemon/src/entry/callerAnswer.ts
+++ b/packages/daemon/src/entry/callerAnswer.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	ERROR_DESCRIPTIONS, type Failure, HEADERS, type Outcome, OUTCOMES, SECOND_MS,
 } from '@damaskspool/shared';
@@ -110,3 +110,19 @@
 		},
 	};
 }
+
+/**
+ * Refuses a request whose body was not read whole; its connection cannot be used again.
+ *
+ * @param incoming - request that is given up
+ * @param response - its response
+ * @param failure - why it is refused
+ */
+export function refuseUnread(incoming: IncomingMessage, response: ServerResponse, failure: Failure): void {
+	const text = JSON.stringify(toErrorBody(failure, ''));
+	const {status} = ERROR_DESCRIPTIONS[failure.code];
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text), connection: 'close'});
+	response.end(text, () => {
+		incoming.destroy();
+	});
+}
--- a/packages/daemon/src/entry/createEntryRpcMethods.ts
+++ b/packages/daemon/src/entry/createOperatorPart.ts
@@ -1,12 +1,8 @@
-import {type EntryEvent, type EntryState} from '@damaskspool/core';
-import {type Loop, type RpcContext, type RpcMethods} from '@damaskspool/runtime';
+import {type EntryState} from '@damaskspool/core';
+import {type RpcContext} from '@damaskspool/runtime';
 import {hashText} from '@damaskspool/shared';
 import {z} from 'zod';
-
-/** Options of {@link createEntryRpcMethods}. */
-export type EntryRpcOptions = {
-	readonly loop: Loop<EntryState, EntryEvent>;
-};
+import {type EntryContext, type EntryPart} from './entryPart.js';
 
 /** One row of a query's reply: plain values by column. */
 export type QueryRow = Readonly<Record<string, string | number | boolean>>;
@@ -28,22 +24,25 @@
 };
 
 /**
- * Creates the JSON-RPC methods of an entry.
+ * Creates the part of an entry that answers operators.
  *
- * @param options - loop whose state is read
- * @returns methods by name
+ * @param context - what the entry shares among its parts
+ * @returns the part
  */
-export function createEntryRpcMethods({loop}: EntryRpcOptions): RpcMethods {
+export function createOperatorPart({readState}: EntryContext): EntryPart {
 	return {
-		'operator.query'(parameters, context) {
-			assertOperator(loop.state, context);
-			const {source} = queryParametersSchema.parse(parameters);
-			const list = SOURCES[source];
-			if (list === undefined) {
-				throw new Error(`unknown source "${source}", expected one of ${Object.keys(SOURCES).join(', ')}`);
-			}
+		effectHandlers: {},
+		rpcMethods: {
+			'operator.query'(parameters, context) {
+				assertOperator(readState(), context);
+				const {source} = queryParametersSchema.parse(parameters);
+				const list = SOURCES[source];
+				if (list === undefined) {
+					throw new Error(`unknown source "${source}", expected one of ${Object.keys(SOURCES).join(', ')}`);
+				}
 
-			return {rows: list(loop.state)};
+				return {rows: list(readState())};
+			},
 		},
 	};
 }
--- a/packages/daemon/src/entry/startEntryPolls.ts
+++ b/packages/daemon/src/entry/createPollPart.ts
@@ -1,33 +1,27 @@
-import {type EntryEvent, type EntryState} from '@damaskspool/core';
-import {type Loop, type ObjectApiClient, type RpcCaller} from '@damaskspool/runtime';
 import {
 	CONFIGURATION_KEY, configurationSchema, instanceRecordSchema, loadReportSchema,
 } from '@damaskspool/shared';
 import {z} from 'zod';
-
-/** Options of {@link startEntryPolls}. */
-export type EntryPollsOptions = {
-	readonly loop: Loop<EntryState, EntryEvent>;
-	readonly objectApi: ObjectApiClient;
-	readonly rpc: RpcCaller;
-	readonly intervalMs: number;
-};
+import {type EntryContext, type EntryPart} from './entryPart.js';
 
 const instanceListSchema = z.object({instances: z.array(instanceRecordSchema)});
 
 /**
- * Starts reading configuration, instance list and load reports at an interval.
- * A read that fails changes nothing: the entry goes on with what it knows.
+ * Creates the part of an entry that reads configuration, instance list and load
+ * reports at an interval. A read that fails changes nothing: the entry goes on
+ * with what it knows.
  *
- * @param options - where to read and what to tell
- * @returns a function that ends the reading
+ * @param context - what the entry shares among its parts
+ * @returns the part
  */
-export function startEntryPolls({loop, objectApi, rpc, intervalMs}: EntryPollsOptions): () => void {
+export function createPollPart(context: EntryContext): EntryPart {
+	const {objectApi, rpc, metrics, settings, dispatch, readState} = context;
+
 	const readConfiguration = async () => {
 		const read = await objectApi.read(CONFIGURATION_KEY);
 		const configuration = read.ok ? configurationSchema.safeParse(read.val?.value).data : undefined;
 		if (configuration !== undefined) {
-			loop.dispatch({type: 'configuration.read', configuration});
+			dispatch({type: 'configuration.read', configuration});
 		}
 	};
 
@@ -35,7 +29,7 @@
 		const read = await objectApi.call('GET', '/instances');
 		const list = read.ok ? instanceListSchema.safeParse(read.val).data : undefined;
 		if (list !== undefined) {
-			loop.dispatch({type: 'instances.listed', instances: list.instances});
+			dispatch({type: 'instances.listed', instances: list.instances});
 		}
 	};
 
@@ -43,13 +37,13 @@
 		const read = await rpc.call(address, 'load.get', {});
 		const load = read.ok ? loadReportSchema.safeParse(read.val).data : undefined;
 		if (load !== undefined) {
-			loop.dispatch({type: 'load.reported', load});
+			dispatch({type: 'load.reported', load});
 		}
 	};
 
 	const readAll = async () => {
 		await Promise.all([readConfiguration(), readInstances()]);
-		const targets = [...loop.state.membership.targets.values()];
+		const targets = [...readState().membership.targets.values()];
 		await Promise.all(targets.map(async target => readLoad(target.address)));
 	};
 
@@ -60,13 +54,22 @@
 		if (!isEnded) {
 			timer = setTimeout(() => {
 				void repeat();
-			}, intervalMs);
+			}, settings.pollInterval);
 		}
 	};
 
-	void repeat();
-	return () => {
-		isEnded = true;
-		clearTimeout(timer);
+	return {
+		effectHandlers: {},
+		updateGauges() {
+			metrics.setGauge('known_targets', readState().membership.targets.size);
+			metrics.setGauge('configuration_revision', readState().configuration.revision);
+		},
+		start() {
+			void repeat();
+		},
+		stop() {
+			isEnded = true;
+			clearTimeout(timer);
+		},
 	};
 }
--- /dev/null
+++ b/packages/daemon/src/entry/createRequestPart.ts
@@ -0,0 +1,140 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type SendAttempt} from '@damaskspool/core';
+import {Agent} from 'undici';
+import {type CallerAnswer, createCallerAnswer, refuseUnread} from './callerAnswer.js';
+import {type EntryContext, type EntryPart} from './entryPart.js';
+import {type CallerRequest, readCallerRequest} from './readCallerRequest.js';
+import {sendAttempt, type StreamProgress} from './sendAttempt.js';
+
+/** What the runtime keeps of a request while it is under way. */
+type OpenRequest = {
+	readonly request: CallerRequest;
+	readonly answer: CallerAnswer;
+	readonly progress: StreamProgress;
+	readonly receivedAtMs: number;
+	attempt: AbortController | undefined;
+};
+
+/** The part of an entry that serves callers. */
+export type RequestPart = EntryPart<'attempt.send' | 'attempt.cancel' | 'request.refuse' | 'request.complete'> & {
+	/** Takes a caller's request. */
+	readonly receive: (incoming: IncomingMessage, response: ServerResponse) => Promise<void>;
+	readonly countOpen: () => number;
+};
+
+/** Connections that an entry opens to one sidecar at most. */
+const CONNECTIONS_PER_SIDECAR = 128;
+/** Longest wait for a connection to a sidecar. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/**
+ * Creates the part of an entry that reads callers' requests, sends attempts and writes answers.
+ *
+ * @param context - what the entry shares among its parts
+ * @returns the part
+ */
+export function createRequestPart(context: EntryContext): RequestPart {
+	const {settings, logger, metrics, dispatch, readClock} = context;
+	const open = new Map<string, OpenRequest>();
+	const dispatcher = new Agent({connections: CONNECTIONS_PER_SIDECAR, connect: {timeout: CONNECT_TIMEOUT_MS}});
+
+	const closeRequest = (requestId: string): OpenRequest | undefined => {
+		const found = open.get(requestId);
+		if (found !== undefined) {
+			open.delete(requestId);
+			metrics.recordMs('request', readClock() - found.receivedAtMs);
+		}
+
+		return found;
+	};
+
+	const startAttempt = async (effect: SendAttempt) => {
+		const found = open.get(effect.requestId);
+		if (found === undefined) {
+			return;
+		}
+
+		const {requestId, attemptId} = effect;
+		const abort = new AbortController();
+		found.attempt = abort;
+		const end = await sendAttempt({
+			effect,
+			entryId: settings.instanceId,
+			request: found.request,
+			answer: found.answer,
+			progress: found.progress,
+			dispatcher,
+			signal: abort.signal,
+			onAnswered(load) {
+				metrics.recordMs('first_byte', readClock() - found.receivedAtMs);
+				dispatch({
+					type: 'attempt.answered', requestId, attemptId, load,
+				});
+			},
+		});
+		if (end.type === 'finished') {
+			dispatch({
+				type: 'attempt.finished', requestId, attemptId, generatedTokens: end.generatedTokens,
+			});
+			return;
+		}
+
+		logger.info('attempt failed', {
+			requestId, attemptId, targetId: effect.targetId, failure: end.failure,
+		});
+		dispatch({
+			...end, type: 'attempt.failed', requestId, attemptId,
+		});
+	};
+
+	return {
+		effectHandlers: {
+			'attempt.send'(effect) {
+				void startAttempt(effect);
+			},
+			'attempt.cancel'({requestId}) {
+				open.get(requestId)?.attempt?.abort();
+			},
+			'request.refuse'({requestId, failure}) {
+				metrics.count(`refused_total{code="${failure.code}"}`);
+				closeRequest(requestId)?.answer.refuse(failure);
+			},
+			'request.complete'({requestId}) {
+				metrics.count('answered_total');
+				closeRequest(requestId)?.answer.complete();
+			},
+		},
+		countOpen: () => open.size,
+		updateGauges() {
+			metrics.setGauge('open_requests', open.size);
+		},
+		async stop() {
+			await dispatcher.destroy();
+		},
+		async receive(incoming, response) {
+			const receivedAtMs = readClock();
+			const read = await readCallerRequest(incoming, settings.bodyLimit);
+			if (read.err) {
+				refuseUnread(incoming, response, read.val);
+				return;
+			}
+
+			const request = read.val;
+			const {requestId} = request.facts;
+			open.set(requestId, {
+				request,
+				answer: createCallerAnswer(response, requestId),
+				progress: {lastEventId: undefined, generatedTokens: 0},
+				receivedAtMs,
+				attempt: undefined,
+			});
+			response.on('close', () => {
+				if (open.has(requestId) && !response.writableFinished) {
+					dispatch({type: 'caller.left', requestId});
+					closeRequest(requestId);
+				}
+			});
+			dispatch({type: 'request.received', facts: request.facts});
+		},
+	};
+}
--- a/packages/shared/src/loadReport.ts
+++ b/packages/shared/src/loadReport.ts
@@ -16,6 +16,10 @@
 	queuedPrefillTokens: z.number().nonnegative(),
 	freePieces: z.number().nonnegative(),
 	totalPieces: z.number().nonnegative(),
+	/** Prompt tokens worked through since the sidecar started; cached ones are left out. */
+	prefillTokensTotal: z.number().nonnegative(),
+	/** Tokens generated since the sidecar started. */
+	generatedTokensTotal: z.number().nonnegative(),
 	/** Milliseconds since the target itself reported the figures. */
 	ageMs: z.number().nonnegative(),
 });
