Split the entry's polls into configuration, instances and load

Cause: one part read three unrelated things in turn, so that a slow target delayed the next read of the configuration.

Change: three parts, each repeating on its own, share startRepeating.

--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -12,9 +12,11 @@
 import {type EntrySettings} from '../settings.js';
 import {stopServer} from '../stopServer.js';
 import {toErrorBody} from './callerAnswer.js';
+import {createConfigurationPart} from './createConfigurationPart.js';
 import {createDecisionPart} from './createDecisionPart.js';
 import {createOperatorPart} from './createOperatorPart.js';
-import {createPollPart} from './createPollPart.js';
+import {createInstancesPart} from './createInstancesPart.js';
+import {createLoadPart} from './createLoadPart.js';
 import {createRequestPart} from './createRequestPart.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 
@@ -65,7 +67,14 @@
 
 	const requestPart = createRequestPart(context);
 	const decisionPart = createDecisionPart(context);
-	const parts: readonly EntryPart[] = [requestPart, decisionPart, createPollPart(context), createOperatorPart(context)];
+	const parts: readonly EntryPart[] = [
+		requestPart,
+		decisionPart,
+		createConfigurationPart(context),
+		createInstancesPart(context),
+		createLoadPart(context),
+		createOperatorPart(context),
+	];
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
 		state: createEntryState(settings),
 		reduce: reduceEntry,
