Give the engine stand-in a cost model to decide on

Cause: the stand-in worked through one prompt at a time in chunks of fixed size, had no memory and no prefix cache, and its role did nothing, so no routing or planning decision could be told from another. Change: a step model in which prefill and decode compete, roles as the share of a step given to prefill, KV memory in pieces, a prefix cache with eviction by last use, export and import of KV cache at a rate, role changes that take time, reports with a lag, and cache events that come late and with gaps. The batch, the cache, the cost model and the event log are files of their own. Before: none of these. After: the new tests and the test of the whole path pass. Conclusion: decisions can be compared on it; docs/design/0007 is the model.

--- a/packages/shared/src/digests.ts
+++ b/packages/shared/src/digests.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {BYTES_PER_TOKEN, TOKENS_PER_MEMORY_PIECE} from './units.js';
 
 /**
  * Hashes text with SHA-256.
@@ -21,3 +22,28 @@
 export function computeFingerprint(customerId: string, serviceId: string, body: Uint8Array): string {
 	return createHash('sha256').update(`${customerId}\n${serviceId}\n`).update(body).digest('hex').slice(0, 32);
 }
+
+/** Hexadecimal digits kept of the hash of a prefix: 64 bits tell all prefixes of a fleet's caches apart. */
+const PREFIX_HASH_DIGITS = 16;
+/** Pieces of a prompt that are hashed at most: 64,000 tokens. */
+const PREFIX_PIECES_LIMIT = 64;
+
+/**
+ * Hashes the prefixes of a prompt that fill whole memory pieces. Each hash
+ * covers all text before it, so equal hashes mean equal prefixes.
+ *
+ * @param modelId - model, adapter and version, whose KV caches differ
+ * @param prompt - whole prompt
+ * @returns one hash for each whole piece, shortest prefix first
+ */
+export function hashPrefixes(modelId: string, prompt: string): string[] {
+	const pieceLength = TOKENS_PER_MEMORY_PIECE * BYTES_PER_TOKEN;
+	const hashes: string[] = [];
+	let last = modelId;
+	for (let end = pieceLength; end <= prompt.length && hashes.length < PREFIX_PIECES_LIMIT; end += pieceLength) {
+		last = hashText(`${last}\n${prompt.slice(end - pieceLength, end)}`).slice(0, PREFIX_HASH_DIGITS);
+		hashes.push(last);
+	}
+
+	return hashes;
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/createBatch.ts
@@ -0,0 +1,150 @@
+import {type TargetRole, TOKENS_PER_MEMORY_PIECE} from '@damaskspool/shared';
+import {type CacheEvent, createPrefixCache, type PrefixCache} from './createPrefixCache.js';
+import {planStep} from './engineCostModel.js';
+import {type EngineSettings} from './engineOptions.js';
+import {type EngineSequence, writeToken} from './engineSequence.js';
+
+/** Counts of an engine's batch. */
+export type BatchCounts = {
+	prefilledTokens: number;
+	/** Prompt tokens that the prefix cache spared. */
+	cachedTokens: number;
+	generatedTokens: number;
+	cancelled: number;
+};
+
+/** The continuous batch of an engine. */
+export type Batch = {
+	readonly cache: PrefixCache;
+	readonly counts: Readonly<BatchCounts>;
+	readonly add: (sequence: EngineSequence) => void;
+	/** Ends a sequence whose caller has gone. */
+	readonly cancel: (sequence: EngineSequence) => void;
+	readonly readRole: () => TargetRole;
+	readonly isChangingRole: () => boolean;
+	/** Takes the engine out for the time of a role change; running sequences stand still and the prefix cache is lost. */
+	readonly changeRole: (role: TargetRole) => Promise<void>;
+	readonly countRunning: () => number;
+	readonly countWaiting: () => number;
+	readonly close: () => void;
+};
+
+/**
+ * Creates the batch of an engine and runs its steps in real time.
+ *
+ * @param settings - cost model
+ * @param onCacheEvent - told of each change of the prefix cache
+ * @returns the batch
+ */
+export function createBatch(settings: EngineSettings, onCacheEvent: (kind: CacheEvent['kind'], hash: string) => void): Batch {
+	const waiting: EngineSequence[] = [];
+	const running = new Set<EngineSequence>();
+	const cache = createPrefixCache({pieces: settings.pieces, onEvent: onCacheEvent});
+	const counts: BatchCounts = {
+		prefilledTokens: 0, cachedTokens: 0, generatedTokens: 0, cancelled: 0,
+	};
+	let {role} = settings;
+	let isStepping = false;
+	let changes = 0;
+	let timer: NodeJS.Timeout | undefined;
+
+	const endSequence = (sequence: EngineSequence) => {
+		if (running.delete(sequence)) {
+			cache.release(sequence.hashes, sequence.privatePieces);
+		}
+	};
+
+	const fillBatch = () => {
+		while (running.size < settings.batchLimit && waiting.length > 0) {
+			const next = waiting.find(sequence => !sequence.isBatchPriority) ?? waiting[0]!;
+			const readyTokens = cache.countReady(next.hashes) * TOKENS_PER_MEMORY_PIECE;
+			if (!cache.hold(next.hashes, next.privatePieces)) {
+				return;
+			}
+
+			waiting.splice(waiting.indexOf(next), 1);
+			// The last prompt token is always worked through, since the first token of the answer comes from it.
+			const spared = Math.min(readyTokens, next.promptTokens - 1);
+			next.prefillLeft = next.promptTokens - spared;
+			counts.cachedTokens += spared;
+			running.add(next);
+		}
+	};
+
+	const startStep = () => {
+		if (isStepping || changes > 0) {
+			return;
+		}
+
+		fillBatch();
+		if (running.size === 0) {
+			return;
+		}
+
+		isStepping = true;
+		const plan = planStep(running, role, settings);
+		timer = setTimeout(() => {
+			isStepping = false;
+			for (const {sequence, tokens} of plan.prefills) {
+				if (!running.has(sequence)) {
+					continue;
+				}
+
+				sequence.prefillLeft -= tokens;
+				counts.prefilledTokens += tokens;
+				if (sequence.prefillLeft <= 0) {
+					cache.markReady(sequence.hashes);
+				}
+			}
+
+			for (const sequence of plan.decoding) {
+				if (running.has(sequence)) {
+					counts.generatedTokens += 1;
+					if (!writeToken(sequence)) {
+						endSequence(sequence);
+					}
+				}
+			}
+
+			startStep();
+		}, plan.durationMs);
+	};
+
+	return {
+		cache,
+		counts,
+		add(sequence) {
+			waiting.push(sequence);
+			startStep();
+		},
+		cancel(sequence) {
+			counts.cancelled += 1;
+			endSequence(sequence);
+			const at = waiting.indexOf(sequence);
+			if (at !== -1) {
+				waiting.splice(at, 1);
+			}
+		},
+		readRole: () => role,
+		isChangingRole: () => changes > 0,
+		async changeRole(next) {
+			if (next === role) {
+				return;
+			}
+
+			changes += 1;
+			await new Promise(resolve => {
+				setTimeout(resolve, settings.roleChangeMs).unref();
+			});
+			changes -= 1;
+			role = next;
+			cache.clear();
+			startStep();
+		},
+		countRunning: () => running.size,
+		countWaiting: () => waiting.length,
+		close() {
+			clearTimeout(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engineSequence.ts
@@ -0,0 +1,105 @@
+import {type ServerResponse} from 'node:http';
+import {
+	BYTES_PER_TOKEN, hashPrefixes, HEADERS, TOKENS_PER_MEMORY_PIECE,
+} from '@damaskspool/shared';
+import {sendJson, type StandInRequest} from '../serveJson.js';
+import {computeToken, hashPrompt} from './engineText.js';
+
+/** One request in an engine. */
+export type EngineSequence = {
+	readonly promptDigest: string;
+	readonly promptTokens: number;
+	/** Hashes of the prefixes that fill whole memory pieces. */
+	readonly hashes: readonly string[];
+	/** Pieces that no other sequence shares. */
+	readonly privatePieces: number;
+	readonly isBatchPriority: boolean;
+	readonly maxTokens: number;
+	readonly isStream: boolean;
+	readonly requestId: string;
+	readonly model: string;
+	readonly response: ServerResponse;
+	prefillLeft: number;
+	nextIndex: number;
+	text: string;
+};
+
+type CompletionBody = {
+	readonly model: string;
+	readonly messages: ReadonlyArray<{readonly content: string}>;
+	readonly max_tokens?: number;
+	readonly stream?: boolean;
+};
+
+/**
+ * Reads a completion request.
+ *
+ * @param request - what the engine was sent
+ * @param response - where the answer goes
+ * @returns the sequence, with nothing of it worked through
+ */
+export function createSequence(request: StandInRequest, response: ServerResponse): EngineSequence {
+	const body = JSON.parse(request.body) as CompletionBody;
+	const prompt = body.messages.map(message => message.content).join('\n');
+	const lastEventId = request.headers[HEADERS.lastEventId];
+	const promptTokens = Math.ceil(prompt.length / BYTES_PER_TOKEN);
+	const maxTokens = body.max_tokens ?? 16;
+	const hashes = hashPrefixes(body.model, prompt);
+	return {
+		promptDigest: hashPrompt(prompt),
+		promptTokens,
+		hashes,
+		privatePieces: Math.ceil((promptTokens + maxTokens) / TOKENS_PER_MEMORY_PIECE) - hashes.length,
+		isBatchPriority: request.headers[HEADERS.priority] === 'batch',
+		maxTokens,
+		isStream: body.stream === true,
+		requestId: String(request.headers[HEADERS.requestId] ?? ''),
+		model: body.model,
+		response,
+		prefillLeft: promptTokens,
+		nextIndex: typeof lastEventId === 'string' ? Number(lastEventId) + 1 : 0,
+		text: '',
+	};
+}
+
+/**
+ * Writes the next token of a sequence.
+ *
+ * @param sequence - a sequence whose prompt is done
+ * @returns whether more tokens follow
+ */
+export function writeToken(sequence: EngineSequence): boolean {
+	const {response, requestId, model} = sequence;
+	const content = computeToken(sequence.promptDigest, sequence.nextIndex);
+	if (sequence.isStream) {
+		if (!response.headersSent) {
+			response.writeHead(200, {'content-type': 'text/event-stream', [HEADERS.requestId]: requestId});
+		}
+
+		const chunk = JSON.stringify({id: requestId, model, choices: [{index: 0, delta: {content}}]});
+		response.write(`id: ${sequence.nextIndex}\ndata: ${chunk}\n\n`);
+	}
+
+	sequence.text += content;
+	sequence.nextIndex += 1;
+	if (sequence.nextIndex < sequence.maxTokens) {
+		return true;
+	}
+
+	endAnswer(sequence);
+	return false;
+}
+
+function endAnswer({response, isStream, requestId, model, text, promptTokens, maxTokens}: EngineSequence): void {
+	if (isStream) {
+		response.end('data: [DONE]\n\n');
+		return;
+	}
+
+	sendJson(response, 200, {
+		id: requestId,
+		model,
+		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'stop'}],
+		usage: {prompt_tokens: promptTokens, completion_tokens: maxTokens},
+	}, {[HEADERS.requestId]: requestId});
+}
--- a/packages/stand-ins/src/engine/engineText.ts
+++ b/packages/stand-ins/src/engine/engineText.ts
@@ -1,15 +1,25 @@
 import {createHash} from 'node:crypto';
 
+/**
+ * Hashes a prompt once, so that its tokens cost nothing more.
+ *
+ * @param prompt - whole prompt
+ * @returns its digest
+ */
+export function hashPrompt(prompt: string): string {
+	return createHash('sha256').update(prompt).digest('base64url');
+}
+
 /**
  * Computes one token of an engine's answer. The answer depends on the prompt
  * alone, so any engine resumes any stream, and a caller can tell its own answer.
  *
- * @param prompt - whole prompt
+ * @param promptDigest - digest of the whole prompt
  * @param index - place of the token, from 0
  * @returns the token's text, with a space after it
  */
-export function computeToken(prompt: string, index: number): string {
-	return `${createHash('sha256').update(`${index}\n${prompt}`).digest('base64url').slice(0, 6)} `;
+export function computeToken(promptDigest: string, index: number): string {
+	return `${createHash('sha256').update(`${index}\n${promptDigest}`).digest('base64url').slice(0, 6)} `;
 }
 
 /**
@@ -20,5 +30,6 @@
  * @returns its text
  */
 export function computeAnswer(prompt: string, tokens: number): string {
-	return Array.from({length: tokens}, (_, index) => computeToken(prompt, index)).join('');
+	const digest = hashPrompt(prompt);
+	return Array.from({length: tokens}, (_, index) => computeToken(digest, index)).join('');
 }
