--- a/packages/bench/src/run-demo.ts
+++ b/packages/bench/src/run-demo.ts
@@ -16,6 +16,8 @@
 
 const DEPLOYMENTS = ['idranti', 'odalaigh'];
 const MAX_SECONDS = 600;
+/** Exit code of a program that an interrupt ended, as shells have it. */
+const EXIT_INTERRUPTED = 130;
 
 class DemoCommand extends Command {
 	static override paths = [Command.Default];
@@ -42,9 +44,19 @@
 		process.once('SIGTERM', () => {
 			stopped.abort();
 		});
-		return runDemo({
-			directory: path.resolve('examples', this.deployment), durationMs: seconds * 1000, seed: Number(this.seed), signal: stopped.signal,
-		});
+		try {
+			return await runDemo({
+				directory: path.resolve('examples', this.deployment), durationMs: seconds * 1000, seed: Number(this.seed), signal: stopped.signal,
+			});
+		} catch (error) {
+			// A signal reaches the daemons too, so that a start under way fails; they have been stopped by now.
+			if (!stopped.signal.aborted) {
+				throw error;
+			}
+
+			this.context.stderr.write('stopped before the deployment was up\n');
+			return EXIT_INTERRUPTED;
+		}
 	}
 }
 
