Choose targets by expected time to first token and decode headroom

Cause: the choice took the lowest sum of reported tokens over all known targets: entries that decided at once on the same reports took the same target, prefix caches and roles were ignored, and the time of a choice grew with the fleet. Change: a choice is made within a bounded subset (own availability zone first, then rendezvous hash; a third elsewhere) among a few targets drawn by a random number that came in with the request, those that hold the prompt's prefix, and the one that all entries would give a new prefix to. The cost is the expected time to first token and between tokens in parts of the service's goals. Own attempts count at once; reports lose weight with age; observed times correct a target's speed. The prefix index learns from own choices and from cache events, which sidecars pass on with load.get; lost events make it forget its oldest prefixes. Sidecars count only prompt tokens that are not cached as queued. A target that is changing its role takes no new work. Policies stand in a table and an entry setting selects one for experiments.

--- a/packages/core/src/admission/admissionHandlers.ts
+++ b/packages/core/src/admission/admissionHandlers.ts
@@ -51,6 +51,13 @@
 			admission.lifeState = 'serving';
 		}
 
+		// A target that is not ready while it serves is changing its role.
+		if (admission.lifeState === 'serving' && !event.isReady) {
+			admission.lifeState = 'changingRole';
+		} else if (admission.lifeState === 'changingRole' && event.isReady) {
+			admission.lifeState = 'serving';
+		}
+
 		return startFittingWork(admission);
 	},
 
@@ -100,7 +107,7 @@
 		admission.waiting.splice(admission.waiting.indexOf(next), 1);
 		admission.running.set(next.attemptId, next);
 		admission.usedPieces += countPieces(next);
-		admission.prefillingTokens.set(next.attemptId, next.promptTokens);
+		admission.prefillingTokens.set(next.attemptId, next.prefillTokens);
 		effects.push({type: 'work.start', attemptId: next.attemptId});
 	}
 }
--- a/packages/core/src/admission/admissionState.ts
+++ b/packages/core/src/admission/admissionState.ts
@@ -9,6 +9,8 @@
 	readonly customerId: string;
 	readonly priority: 'interactive' | 'batch';
 	readonly promptTokens: number;
+	/** Prompt tokens that the entry expects not to be in the target's prefix cache. */
+	readonly prefillTokens: number;
 	readonly maxTokens: number;
 	readonly deadlineAtMs: number;
 	readonly fingerprint: string;
@@ -76,7 +78,7 @@
  */
 export function toLoadReport(state: AdmissionState, nowMs: number): LoadReport {
 	const prefilling = [...state.prefillingTokens.values()];
-	const queued = state.waiting.map(work => work.promptTokens);
+	const queued = state.waiting.map(work => work.prefillTokens);
 	return {
 		targetId: state.targetId,
 		role: state.role,
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -9,6 +9,8 @@
 	readonly address: string;
 	readonly customerId: string;
 	readonly serviceId: string;
+	/** Prompt tokens that are expected not to be in the target's prefix cache. */
+	readonly prefillTokens: number;
 	/** Time left for the whole answer. */
 	readonly remainingMs: number;
 };
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -19,6 +19,10 @@
 	/** Digest of the body, without customer and service. */
 	readonly bodyDigest: string;
 	readonly idempotencyKey: string | undefined;
+	/** Hashes of the prompt's prefixes that fill whole memory pieces, shortest first. */
+	readonly prefixHashes?: readonly string[];
+	/** Random 32-bit number, by which entries that decide at once spread over targets. */
+	readonly randomSeed?: number;
 };
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,6 +1,7 @@
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
 import {membershipHandlers} from '../membership/membershipHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
+import {routingHandlers} from '../routing/routingHandlers.js';
 import {createReducer} from './createReducer.js';
 import {type EntryEffect} from './entryEffects.js';
 import {type EntryEvent} from './entryEvents.js';
@@ -8,5 +9,5 @@
 
 /** Decides everything that an entry does. */
 export const reduceEntry = createReducer<EntryState, EntryEvent, EntryEffect>({
-	tables: [configurationHandlers, membershipHandlers, requestHandlers],
+	tables: [routingHandlers, configurationHandlers, membershipHandlers, requestHandlers],
 });
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,6 +1,8 @@
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
 import {createMembershipState, type MembershipState} from '../membership/membershipState.js';
 import {type RequestRecord} from '../request/requestRecord.js';
+import {type RoutingPolicyName} from '../routing/routingPolicies.js';
+import {createRoutingState, type RoutingState} from '../routing/routingState.js';
 
 /** The whole state of an entry's decisions. */
 export type EntryState = {
@@ -9,6 +11,7 @@
 	isStopping: boolean;
 	configuration: ConfigurationState;
 	membership: MembershipState;
+	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
 };
 
@@ -16,6 +19,8 @@
 export type EntryStateOptions = {
 	readonly instanceId: string;
 	readonly availabilityZone: string;
+	/** How targets are chosen; others than the default are there for experiments. */
+	readonly routingPolicy?: RoutingPolicyName;
 };
 
 /**
@@ -31,6 +36,7 @@
 		isStopping: false,
 		configuration: createConfigurationState(),
 		membership: createMembershipState(),
+		routing: createRoutingState(options.routingPolicy),
 		requests: new Map(),
 	};
 }
--- a/packages/core/src/request/requestHandlers.ts
+++ b/packages/core/src/request/requestHandlers.ts
@@ -7,7 +7,8 @@
 import {type EntryEffect} from '../reducer/entryEffects.js';
 import {type EntryEvent, type RequestFacts} from '../reducer/entryEvents.js';
 import {type EntryState} from '../reducer/entryState.js';
-import {chooseTarget} from '../routing/chooseTarget.js';
+import {chooseTarget, recordChoice} from '../routing/chooseTarget.js';
+import {toRoutingDemand} from '../routing/routingDemand.js';
 import {type RequestMachineState} from './requestMachine.js';
 import {
 	advanceRequest, type Attempt, createRequestRecord, type RequestRecord,
@@ -185,18 +186,11 @@
 	lastFailure: Failure | undefined,
 ): readonly EntryEffect[] {
 	const {facts, service} = record;
+	const {requestId} = facts;
+	const demand = toRoutingDemand(record);
 	const target = record.attemptCount < ATTEMPT_LIMIT && nowMs < record.deadlineAtMs
 		? chooseTarget({
-			membership: state.membership,
-			availabilityZone: state.availabilityZone,
-			nowMs,
-			demand: {
-				serviceId: service.serviceId,
-				modelId: service.kind === 'model' ? facts.modelId : undefined,
-				promptTokens: facts.promptTokens,
-				maxTokens: facts.maxTokens,
-				excludedTargetIds: record.triedTargetIds,
-			},
+			...state, entryId: state.instanceId, nowMs, demand,
 		})
 		: undefined;
 	if (target === undefined) {
@@ -205,7 +199,10 @@
 	}
 
 	record.attemptCount += 1;
-	const attemptId = `${facts.requestId}.${record.attemptCount}`;
+	const attemptId = `${requestId}.${record.attemptCount}`;
+	const prefillTokens = recordChoice({
+		...state, requestId, attemptId, target, demand, nowMs,
+	});
 	record.attempt = {attemptId, targetId: target.targetId, isAnswered: false};
 	record.triedTargetIds.add(target.targetId);
 	target.inFlight += 1;
@@ -213,12 +210,13 @@
 	advanceRequest(record, {type: 'attempt'});
 	return [{
 		type: 'attempt.send',
-		requestId: facts.requestId,
+		requestId,
 		attemptId,
 		targetId: target.targetId,
 		address: target.address,
 		customerId: record.customerId,
 		serviceId: service.serviceId,
+		prefillTokens,
 		remainingMs: record.deadlineAtMs - nowMs,
 	}];
 }
--- a/packages/core/src/routing/chooseTarget.ts
+++ b/packages/core/src/routing/chooseTarget.ts
@@ -1,66 +1,93 @@
 import {type MembershipState, type TargetView} from '../membership/membershipState.js';
-
-/** What the choice of a target needs to know of a request. */
-export type RoutingDemand = {
-	readonly serviceId: string;
-	/** Model, adapter and version asked for; undefined for a plain service. */
-	readonly modelId: string | undefined;
-	readonly promptTokens: number;
-	readonly maxTokens: number;
-	/** Targets already tried, which are not tried again. */
-	readonly excludedTargetIds: ReadonlySet<string>;
-};
+import {computeExpectedTime} from './expectedTime.js';
+import {recordPrefixes} from './prefixIndex.js';
+import {type RoutingDemand} from './routingDemand.js';
+import {ROUTING_POLICIES} from './routingPolicies.js';
+import {findOwnLoad, type RoutingState} from './routingState.js';
+import {isOfferingModel, selectSubset} from './selectSubset.js';
 
 /** Options of {@link chooseTarget}. */
 export type ChooseTargetOptions = {
+	readonly routing: RoutingState;
 	readonly membership: MembershipState;
 	readonly demand: RoutingDemand;
+	readonly entryId: string;
 	readonly availabilityZone: string;
 	readonly nowMs: number;
 };
 
-/** Cost, in prompt tokens, taken for one request that runs at a target. */
-const RUNNING_COST_TOKENS = 200;
-/** Added cost, in prompt tokens, of a target in another availability zone. */
-const OTHER_ZONE_COST_TOKENS = 100;
-
 /**
- * Chooses the target for a request: the lowest expected wait among those that may take it.
+ * Chooses the target for a request among those that may take it: first in the
+ * entry's own subset, and among all known targets where that holds none.
  *
  * @param options - what is known, and what is asked
  * @returns the target, or undefined where none may take the request
  */
 export function chooseTarget(options: ChooseTargetOptions): TargetView | undefined {
-	let best: TargetView | undefined;
-	let bestCost = Number.POSITIVE_INFINITY;
-	for (const target of options.membership.targets.values()) {
-		if (!isEligible(target, options)) {
-			continue;
-		}
+	const {routing, membership, demand, availabilityZone, nowMs} = options;
+	const subset = selectSubset({...options, serviceId: demand.serviceId, modelId: demand.modelId});
+	let eligible = subset
+		.map(targetId => membership.targets.get(targetId))
+		.filter(target => target !== undefined)
+		.filter(target => isEligible(target, options));
+	if (eligible.length === 0) {
+		eligible = [...membership.targets.values()].filter(target => isEligible(target, options));
+	}
 
-		const cost = computeCost(target, options);
-		if (cost < bestCost) {
-			best = target;
-			bestCost = cost;
-		}
+	if (eligible.length === 0) {
+		return undefined;
 	}
 
-	return best;
+	routing.choices += 1;
+	return ROUTING_POLICIES[routing.policyName]({
+		routing, eligible, demand, availabilityZone, nowMs,
+	});
+}
+
+/** Options of {@link recordChoice}. */
+export type RecordChoiceOptions = Omit<ChooseTargetOptions, 'membership' | 'entryId'> & {
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly target: TargetView;
+};
+
+/**
+ * Counts an attempt at once, before any load report tells of it.
+ *
+ * @param options - the attempt and the target chosen for it
+ * @returns prompt tokens that the target is expected to work through
+ */
+export function recordChoice(options: RecordChoiceOptions): number {
+	const {routing, target, demand, nowMs, attemptId} = options;
+	const expected = computeExpectedTime({...options, usesAffinity: routing.policyName !== 'noAffinity', usesAgeDiscount: true});
+	const own = findOwnLoad(routing, target.targetId);
+	if (target.loadAtMs > own.reportAtMs) {
+		own.reportAtMs = target.loadAtMs;
+		own.runningSinceReport = 0;
+		own.prefillTokensSinceReport = 0;
+	}
+
+	own.running += 1;
+	own.runningSinceReport += 1;
+	own.prefillTokens += expected.prefillTokens;
+	own.prefillTokensSinceReport += expected.prefillTokens;
+	routing.sent.set(attemptId, {
+		requestId: options.requestId,
+		targetId: target.targetId,
+		sentAtMs: nowMs,
+		prefillTokens: expected.prefillTokens,
+		expectedFirstTokenMs: expected.firstTokenMs,
+		isAnswered: false,
+	});
+	recordPrefixes(routing.prefixes, target.targetId, demand.prefixHashes ?? []);
+	return expected.prefillTokens;
 }
 
 function isEligible(target: TargetView, {demand, nowMs}: ChooseTargetOptions): boolean {
 	return target.serviceId === demand.serviceId
 		&& !target.isLeaving
+		&& (target.load === undefined || target.load.state === 'serving')
 		&& target.avoidUntilMs <= nowMs
 		&& !demand.excludedTargetIds.has(target.targetId)
-		&& (demand.modelId === undefined || target.load === undefined || target.load.models.includes(demand.modelId));
-}
-
-function computeCost(target: TargetView, {availabilityZone}: ChooseTargetOptions): number {
-	const reported = target.load === undefined
-		? 0
-		: target.load.queuedPrefillTokens + ((target.load.running + target.load.waiting) * RUNNING_COST_TOKENS);
-	const own = target.inFlightPromptTokens + (target.inFlight * RUNNING_COST_TOKENS);
-	const distance = target.availabilityZone === availabilityZone ? 0 : OTHER_ZONE_COST_TOKENS;
-	return Math.max(reported, own) + distance;
+		&& isOfferingModel(target, demand.modelId);
 }
--- /dev/null
+++ b/packages/core/src/routing/routingHandlers.ts
@@ -0,0 +1,104 @@
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {type EntryEffect} from '../reducer/entryEffects.js';
+import {type EntryEvent} from '../reducer/entryEvents.js';
+import {type EntryState} from '../reducer/entryState.js';
+import {computeSlowness} from './expectedTime.js';
+import {mergeCacheEvents} from './prefixIndex.js';
+import {findOwnLoad, type RoutingState, type SentAttempt} from './routingState.js';
+
+/** Handlers by which an entry keeps count of its own work and of prefix caches. They see an event before the request's own. */
+export const routingHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
+	'attempt.answered'({routing}, {attemptId, nowMs}) {
+		const sent = routing.sent.get(attemptId);
+		if (sent !== undefined && !sent.isAnswered) {
+			const own = findOwnLoad(routing, sent.targetId);
+			own.slowness = computeSlowness(own.slowness, nowMs - sent.sentAtMs, sent.expectedFirstTokenMs);
+			settlePrefill(routing, sent);
+		}
+
+		return [];
+	},
+
+	'attempt.finished'({routing}, {attemptId}) {
+		endSent(routing, attemptId);
+		return [];
+	},
+
+	'attempt.failed'({routing}, {attemptId}) {
+		endSent(routing, attemptId);
+		return [];
+	},
+
+	'caller.left'(state, {requestId}) {
+		const attempt = state.requests.get(requestId)?.attempt;
+		if (attempt !== undefined) {
+			endSent(state.routing, attempt.attemptId);
+		}
+
+		return [];
+	},
+
+	'load.reported'({routing, membership}, {load}) {
+		const target = membership.targets.get(load.targetId);
+		if (target !== undefined && target.load?.models.join('\n') !== load.models.join('\n')) {
+			routing.subsets.clear();
+		}
+
+		if (load.cacheEvents !== undefined) {
+			mergeCacheEvents(routing.prefixes, load.targetId, load.cacheEvents);
+		}
+
+		return [];
+	},
+
+	'instances.listed'({routing, membership}, {instances}) {
+		routing.subsets.clear();
+		const listed = new Set(instances.map(instance => instance.instanceId));
+		for (const targetId of [...routing.ownLoads.keys(), ...routing.prefixes.keys()]) {
+			if (!listed.has(targetId) && !membership.targets.has(targetId)) {
+				routing.ownLoads.delete(targetId);
+				routing.prefixes.delete(targetId);
+			}
+		}
+
+		for (const {instanceId, incarnation} of instances) {
+			// A restarted target has an empty cache and numbers its cache events anew.
+			const known = membership.targets.get(instanceId);
+			if (known !== undefined && known.incarnation !== incarnation) {
+				routing.prefixes.delete(instanceId);
+			}
+		}
+
+		return [];
+	},
+
+	/** An attempt whose request ended otherwise, at its deadline for instance, is no longer counted. */
+	tick(state) {
+		for (const [attemptId, {requestId}] of state.routing.sent) {
+			if (!state.requests.has(requestId)) {
+				endSent(state.routing, attemptId);
+			}
+		}
+
+		return [];
+	},
+};
+
+function settlePrefill(routing: RoutingState, sent: SentAttempt): void {
+	sent.isAnswered = true;
+	findOwnLoad(routing, sent.targetId).prefillTokens -= sent.prefillTokens;
+}
+
+function endSent(routing: RoutingState, attemptId: string): void {
+	const sent = routing.sent.get(attemptId);
+	if (sent === undefined) {
+		return;
+	}
+
+	if (!sent.isAnswered) {
+		settlePrefill(routing, sent);
+	}
+
+	routing.sent.delete(attemptId);
+	findOwnLoad(routing, sent.targetId).running -= 1;
+}
--- /dev/null
+++ b/packages/core/src/routing/selectSubset.ts
@@ -0,0 +1,82 @@
+import {type MembershipState, type TargetView} from '../membership/membershipState.js';
+import {type RoutingState} from './routingState.js';
+
+/** Targets among which one entry chooses. More adds little to the best of a few, and each costs time in every decision. */
+export const SUBSET_SIZE = 24;
+
+/** Options of {@link selectSubset}. */
+export type SelectSubsetOptions = {
+	readonly routing: RoutingState;
+	readonly membership: MembershipState;
+	readonly entryId: string;
+	readonly availabilityZone: string;
+	readonly serviceId: string;
+	readonly modelId: string | undefined;
+};
+
+/**
+ * Selects the targets among which an entry chooses for a service and model:
+ * those of its own availability zone first, then by rendezvous hash, so that
+ * entries spread over all targets and a change of the fleet moves few of them.
+ *
+ * @param options - who chooses, and for what
+ * @returns identifiers of the targets
+ */
+export function selectSubset(options: SelectSubsetOptions): readonly string[] {
+	const {routing, membership, serviceId, modelId} = options;
+	const key = `${serviceId}\n${modelId ?? ''}`;
+	const known = routing.subsets.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const ranked = [...membership.targets.values()]
+		.filter(target => target.serviceId === serviceId && !target.isLeaving && isOfferingModel(target, modelId))
+		.map(target => ({
+			targetId: target.targetId,
+			isFar: target.availabilityZone !== options.availabilityZone,
+			rank: hashRendezvous(options.entryId, target.targetId),
+		}))
+		.toSorted((left, right) => Number(left.isFar) - Number(right.isFar) || left.rank - right.rank);
+	// A third of the subset lies elsewhere where it can, so that the loss or overload of the zone is no outage.
+	const nearCount = SUBSET_SIZE - Math.min(SUBSET_SIZE / 3, ranked.filter(({isFar}) => isFar).length);
+	const near = ranked.filter(({isFar}) => !isFar).slice(0, nearCount);
+	const far = ranked.filter(({isFar}) => isFar).slice(0, SUBSET_SIZE - near.length);
+	const subset = [...near, ...far].map(({targetId}) => targetId);
+	routing.subsets.set(key, subset);
+	return subset;
+}
+
+/**
+ * Tells whether a target may be asked for a model.
+ *
+ * @param target - view of the target
+ * @param modelId - model, adapter and version; undefined for a plain service
+ * @returns true also where the target has not said yet what it offers
+ */
+export function isOfferingModel(target: TargetView, modelId: string | undefined): boolean {
+	return modelId === undefined || target.load === undefined || target.load.models.includes(modelId);
+}
+
+/** FNV-1a, which spreads short identifiers well and takes far less time than a cryptographic hash. */
+const FNV_OFFSET = 0x81_1C_9D_C5;
+const FNV_PRIME = 0x01_00_01_93;
+
+/**
+ * Computes the rank of a pair for rendezvous hashing.
+ *
+ * @param left - one identifier
+ * @param right - the other
+ * @returns a 32-bit number
+ */
+export function hashRendezvous(left: string, right: string): number {
+	const text = `${left}/${right}`;
+	let hash = FNV_OFFSET;
+	for (let index = 0; index < text.length; index += 1) {
+		// eslint-disable-next-line no-bitwise
+		hash = Math.imul(hash ^ text.codePointAt(index)!, FNV_PRIME);
+	}
+
+	// eslint-disable-next-line no-bitwise
+	return hash >>> 0;
+}
--- a/packages/daemon/src/entry/createLoadPart.ts
+++ b/packages/daemon/src/entry/createLoadPart.ts
@@ -1,3 +1,4 @@
+import {type TargetView} from '@damaskspool/core';
 import {loadReportSchema} from '@damaskspool/shared';
 import {startRepeating} from '../startRepeating.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
@@ -13,8 +14,9 @@
 	const {rpc, settings, dispatch, readState} = context;
 	let stop: (() => void) | undefined;
 
-	const readLoad = async (address: string) => {
-		const read = await rpc.call(address, 'load.get', {});
+	const readLoad = async ({targetId, address}: TargetView) => {
+		const afterSequence = readState().routing.prefixes.get(targetId)?.lastSequence ?? 0;
+		const read = await rpc.call(address, 'load.get', {afterSequence});
 		const load = read.ok ? loadReportSchema.safeParse(read.val).data : undefined;
 		if (load !== undefined) {
 			dispatch({type: 'load.reported', load});
@@ -23,7 +25,7 @@
 
 	const readAll = async () => {
 		const targets = [...readState().membership.targets.values()];
-		await Promise.all(targets.map(async target => readLoad(target.address)));
+		await Promise.all(targets.map(async target => readLoad(target)));
 	};
 
 	return {
--- a/packages/daemon/src/entry/readCallerRequest.ts
+++ b/packages/daemon/src/entry/readCallerRequest.ts
@@ -1,10 +1,10 @@
 import {type Buffer} from 'node:buffer';
-import {randomUUID} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type RequestFacts} from '@damaskspool/core';
 import {readBody} from '@damaskspool/runtime';
 import {
-	BYTES_PER_TOKEN, createFailure, Err, ERROR_CODES, type Failure, hashText, HEADERS, Ok, type Result,
+	BYTES_PER_TOKEN, createFailure, Err, ERROR_CODES, type Failure, hashPrefixes, hashText, HEADERS, Ok, type Result,
 } from '@damaskspool/shared';
 
 /** A caller's request, read whole and cleared of its key. */
@@ -23,6 +23,8 @@
 const KEY_SEARCH_MIN_LENGTH = 8;
 /** Tokens that a request may generate where it does not say. */
 const DEFAULT_MAX_TOKENS = 256;
+/** Seeds are 32-bit numbers. */
+const SEED_RANGE = 2 ** 32;
 
 /**
  * Reads a caller's request. The key goes no further than this function: only
@@ -68,12 +70,25 @@
 		priority: priority === 'batch' ? 'batch' : 'interactive',
 		bodyDigest: hashText(body.toString('latin1')),
 		idempotencyKey: headers[HEADERS.idempotencyKey],
+		prefixHashes: typeof model === 'string' ? hashPrefixes(model, readPrompt(parsed.val)) : [],
+		randomSeed: randomInt(SEED_RANGE),
 	};
 	return Ok({
 		facts, body, target: url, headers,
 	});
 }
 
+/** Reads the text that a model engine caches: the contents of all messages, or the prompt. */
+function readPrompt({messages, prompt}: Record<string, unknown>): string {
+	if (!Array.isArray(messages)) {
+		return typeof prompt === 'string' ? prompt : '';
+	}
+
+	return messages
+		.map((message: {content?: unknown} | null) => typeof message?.content === 'string' ? message.content : '')
+		.join('\n');
+}
+
 /** Reads the key from `Authorization: Bearer` or `x-api-key`, the two places that callers' clients use. */
 function readKey(headers: IncomingHttpHeaders): string | undefined {
 	const bearer = /^Bearer +(?<key>\S+)$/iv.exec(headers.authorization ?? '')?.groups?.key;
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -86,6 +86,7 @@
 		[HEADERS.priority]: facts.priority,
 		[HEADERS.remainingMs]: String(Math.floor(effect.remainingMs)),
 		[HEADERS.promptTokens]: String(facts.promptTokens),
+		[HEADERS.prefillTokens]: String(effect.prefillTokens),
 		[HEADERS.maxTokens]: String(facts.maxTokens),
 		[HEADERS.fingerprint]: computeFingerprint(effect.customerId, effect.serviceId, request.body),
 		...(progress.lastEventId !== undefined && {[HEADERS.lastEventId]: progress.lastEventId}),
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,3 +1,4 @@
+import {ROUTING_POLICY_NAMES} from '@damaskspool/core';
 import {
 	addressSchema, durationSchema, LOG_LEVELS, sizeSchema,
 } from '@damaskspool/runtime';
@@ -27,6 +28,8 @@
 	bodyLimit: sizeSchema.default(16 * MEBIBYTE_BYTES),
 	/** Time between reads of configuration and instance list. */
 	pollInterval: durationSchema.default(SECOND_MS),
+	/** How targets are chosen; others than the default are there for experiments. */
+	routingPolicy: z.enum(ROUTING_POLICY_NAMES).default('expectedTime'),
 });
 
 /** Settings of a sidecar. */
--- a/packages/daemon/src/sidecar/createWorkPart.ts
+++ b/packages/daemon/src/sidecar/createWorkPart.ts
@@ -71,9 +71,6 @@
 				open.get(attemptId)?.abort.abort();
 			},
 		},
-		rpcMethods: {
-			'load.get': () => toLoadReport(readState().admission, readClock()),
-		},
 		countOpen: () => open.size,
 		updateGauges() {
 			metrics.setGauge('running', readState().admission.running.size);
--- a/packages/daemon/src/sidecar/parseWork.ts
+++ b/packages/daemon/src/sidecar/parseWork.ts
@@ -10,6 +10,7 @@
 	[HEADERS.priority]: z.enum(['interactive', 'batch']),
 	[HEADERS.remainingMs]: z.coerce.number().nonnegative(),
 	[HEADERS.promptTokens]: z.coerce.number().int().nonnegative(),
+	[HEADERS.prefillTokens]: z.coerce.number().int().nonnegative().optional(),
 	[HEADERS.maxTokens]: z.coerce.number().int().nonnegative(),
 	[HEADERS.fingerprint]: z.string(),
 });
@@ -33,6 +34,7 @@
 		customerId: data[HEADERS.customerId],
 		priority: data[HEADERS.priority],
 		promptTokens: data[HEADERS.promptTokens],
+		prefillTokens: data[HEADERS.prefillTokens] ?? data[HEADERS.promptTokens],
 		maxTokens: data[HEADERS.maxTokens],
 		deadlineAtMs: nowMs + data[HEADERS.remainingMs],
 		fingerprint: data[HEADERS.fingerprint],
--- a/packages/shared/src/headers.ts
+++ b/packages/shared/src/headers.ts
@@ -14,6 +14,8 @@
 	remainingMs: 'x-damaskspool-remaining-ms',
 	/** Prompt tokens, as sized by the entry. */
 	promptTokens: 'x-damaskspool-prompt-tokens',
+	/** Prompt tokens that are expected not to be in the target's prefix cache. */
+	prefillTokens: 'x-damaskspool-prefill-tokens',
 	/** Most tokens that may be generated. */
 	maxTokens: 'x-damaskspool-max-tokens',
 	/** Digest of customer, service and body, by which a request that crashes targets is known again. */
--- a/packages/shared/src/loadReport.ts
+++ b/packages/shared/src/loadReport.ts
@@ -1,5 +1,17 @@
 import {z} from 'zod';
 
+/** See {@link CacheEvent}. */
+export const cacheEventSchema = z.object({
+	/** Rises by one with each event of a target; a jump tells of lost events. */
+	sequence: z.number().int(),
+	kind: z.enum(['stored', 'evicted']),
+	/** Hash of a prefix, as of {@link hashPrefixes}. */
+	hash: z.string(),
+});
+
+/** A change of a target's prefix cache. */
+export type CacheEvent = z.infer<typeof cacheEventSchema>;
+
 /**
  * What a sidecar reports of its target, on each answer and between answers.
  * Tokens and pieces are counts; a piece is TOKENS_PER_MEMORY_PIECE tokens of KV cache.
@@ -22,6 +34,8 @@
 	generatedTokensTotal: z.number().nonnegative(),
 	/** Milliseconds since the target itself reported the figures. */
 	ageMs: z.number().nonnegative(),
+	/** Changes of the prefix cache since those that the reader named; absent in reports that come with answers. */
+	cacheEvents: z.array(cacheEventSchema).optional(),
 });
 
 /** See {@link loadReportSchema}. */
