Hold duties under leases of the object API

Several entries can compete for one piece of control work, and nothing said which of them has authority. Each duty is now one lease object: holder, epoch, nonce and duration. The holder counts its term from before the renewal was sent less a margin; a bidder waits a whole term plus margin on its own clock after the last version change that it saw; a lost reply is settled by reading back. Only the first three entries of a scope by rendezvous hash read a lease each second, so that reads stay flat as entries grow.

--- /dev/null
+++ b/packages/core/src/lease/__tests__/leaseHandlers.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {type LeaseRecord} from '@damaskspool/shared';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createEntryState, type EntryState} from '../../reducer/entryState.js';
+import {type EntryEffect} from '../../reducer/entryEffects.js';
+import {type EntryEvent} from '../../reducer/entryEvents.js';
+import {findHeldDuty} from '../leaseState.js';
+
+const SEED = 20_261_204;
+const DUTY = 'fleet/a';
+
+type StoredLease = {version: number; record: LeaseRecord | undefined};
+/** An entry, the events that wait for it while it is paused, and how fast its clock runs. */
+type Bidder = {
+	state: EntryState; inbox: Array<(nowMs: number) => EntryEvent>; isPaused: boolean; offsetMs: number; rate: number;
+};
+
+function createBidder(index: number): Bidder {
+	const state = createEntryState({
+		instanceId: `e${index}`, availabilityZone: 'a', region: 'r', processId: `p${index}`,
+	});
+	return {
+		state, inbox: [], isPaused: false, offsetMs: index * 1_000_000, rate: 1 + ((index - 1) * 0.08),
+	};
+}
+
+const steps = fc.record({
+	kind: fc.constantFrom('none', 'none', 'none', 'none', 'pause', 'resume', 'storeDown', 'storeUp', 'replyLost', 'replyLate', 'restart'),
+	who: fc.integer({min: 0, max: 2}),
+	waitMs: fc.integer({min: 1, max: 1500}),
+});
+
+describe('the lease of a duty', () => {
+	it('has one holder at a time under rising epochs, whatever is paused, lost or late', () => {
+		fc.assert(fc.property(fc.array(steps, {maxLength: 120}), list => {
+			const bidders = [0, 1, 2].map(index => createBidder(index));
+			const stored: StoredLease = {version: 0, record: undefined};
+			const holderByEpoch = new Map<number, string>();
+			const late: Array<() => void> = [];
+			let fault = 'storeUp';
+			const clock = {nowMs: 0};
+
+			const readClock = ({offsetMs, rate}: Bidder) => offsetMs + (clock.nowMs * rate);
+			const send = (bidder: Bidder, create: (nowMs: number) => EntryEvent) => {
+				bidder.inbox.push(create);
+			};
+
+			const write = (record: LeaseRecord, expectedVersion: number) => {
+				if (stored.version !== expectedVersion) {
+					return false;
+				}
+
+				stored.version += 1;
+				stored.record = record;
+				return true;
+			};
+
+			const carryOut = (bidder: Bidder, effect: EntryEffect) => {
+				if (effect.type === 'lease.read') {
+					const result = fault === 'storeDown' ? {kind: 'failed'} as const : {kind: 'read', ...stored} as const;
+					send(bidder, at => ({
+						...effect, type: 'lease.readEnded', nowMs: at, result,
+					}));
+				} else if (effect.type === 'lease.write') {
+					const {dutyName, callId, record, expectedVersion} = effect;
+					const answer = (result: Extract<EntryEvent, {type: 'lease.writeEnded'}>['result']) => {
+						send(bidder, at => ({
+							type: 'lease.writeEnded', nowMs: at, dutyName, callId, result,
+						}));
+					};
+
+					if (fault === 'storeDown') {
+						answer({kind: 'unknown'});
+					} else if (fault === 'replyLate') {
+						late.push(() => {
+							write(record, expectedVersion);
+						});
+						answer({kind: 'unknown'});
+					} else {
+						const isWritten = write(record, expectedVersion);
+						const known = isWritten ? {kind: 'written', version: stored.version} as const : {kind: 'conflict'} as const;
+						answer(fault === 'replyLost' ? {kind: 'unknown'} : known);
+					}
+				}
+			};
+
+			const run = (bidder: Bidder) => {
+				for (let create = bidder.inbox.shift(); create !== undefined; create = bidder.inbox.shift()) {
+					for (const effect of reduceEntry(bidder.state, create(readClock(bidder)))) {
+						if (!('dutyName' in effect) || effect.dutyName === DUTY) {
+							carryOut(bidder, effect);
+						}
+					}
+				}
+			};
+
+			const pass = (durationMs: number) => {
+				const endMs = clock.nowMs + durationMs;
+				while (clock.nowMs < endMs) {
+					clock.nowMs += 100;
+					for (const bidder of bidders.filter(each => !each.isPaused)) {
+						run(bidder);
+						send(bidder, at => ({type: 'tick', nowMs: at}));
+						run(bidder);
+					}
+
+					const holders = bidders.flatMap(bidder => {
+						const held = findHeldDuty(bidder.state.lease, DUTY, readClock(bidder));
+						return held === undefined ? [] : [{held, id: bidder.state.lease.processId}];
+					});
+					assert.ok(holders.length <= 1, 'two hold the duty');
+					for (const {held, id} of holders) {
+						assert.equal(holderByEpoch.get(held.epoch) ?? id, id, 'two held the duty under one epoch');
+						holderByEpoch.set(held.epoch, id);
+						assert.equal(Math.max(...holderByEpoch.keys()), held.epoch, 'an older epoch came back');
+					}
+				}
+			};
+
+			for (const {kind, who, waitMs} of list) {
+				const bidder = bidders[who]!;
+				const changes: Readonly<Record<string, () => void>> = {
+					pause() {
+						bidder.isPaused = true;
+					},
+					resume() {
+						bidder.isPaused = false;
+					},
+					restart() {
+						bidders[who] = {...createBidder(who), offsetMs: bidder.offsetMs};
+						Object.assign(bidders[who].state.lease, {processId: `p${who}.${clock.nowMs}`});
+					},
+					none() {
+						late.shift()?.();
+					},
+				};
+				if (kind.startsWith('store') || kind.startsWith('reply')) {
+					fault = kind;
+				}
+
+				changes[kind]?.();
+				pass(waitMs);
+			}
+
+			// Control comes back by itself within ten seconds of the store's return.
+			fault = 'storeUp';
+			bidders[0]!.isPaused = false;
+			pass(10_000);
+			assert.ok(bidders.some(bidder => findHeldDuty(bidder.state.lease, DUTY, readClock(bidder)) !== undefined));
+		}), {seed: SEED, numRuns: 300});
+	});
+});
--- /dev/null
+++ b/packages/core/src/lease/leaseHandlers.ts
@@ -0,0 +1,220 @@
+import {hashText, type LeaseRecord, SECOND_MS} from '@damaskspool/shared';
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {type EntryEffect} from '../reducer/entryEffects.js';
+import {type EntryEvent} from '../reducer/entryEvents.js';
+import {type EntryState} from '../reducer/entryState.js';
+import {
+	countHeldDuties, type DutyState, LEASE_DURATION_MS, LEASE_MARGIN_MS, type LeaseState, type LeaseWrite,
+} from './leaseState.js';
+
+/** Time between renewals, and between reads of an entry that is ranked to bid. */
+const CALL_INTERVAL_MS = SECOND_MS;
+/** Entries of a scope that read its lease often; the others would only spend the store's rate. */
+const CANDIDATE_COUNT = 3;
+/** Time between reads of an entry that is not ranked to bid, should the ranking be out of date. */
+const BACKGROUND_INTERVAL_MS = 30 * SECOND_MS;
+/** Added wait before a bid for each duty already held, so that duties spread over entries. */
+const SPREAD_WAIT_MS = 1500;
+
+/** Handlers by which an entry takes, keeps and gives up leases. */
+export const leaseHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
+	'instances.listed'({lease, membership}, {nowMs}) {
+		const peers = [...membership.peers.values()];
+		for (const duty of lease.duties.values()) {
+			const rivals = peers.filter(peer => duty.scope.kind === 'region'
+				? peer.region === duty.scope.region
+				: peer.availabilityZone === duty.scope.availabilityZone);
+			const wasCandidate = duty.rank < CANDIDATE_COUNT;
+			const own = computeRankHash(duty.name, lease.instanceId);
+			duty.rank = rivals.filter(({instanceId}) => computeRankHash(duty.name, instanceId) < own).length;
+			if (!wasCandidate && duty.rank < CANDIDATE_COUNT) {
+				duty.nextCallAtMs = nowMs;
+			}
+		}
+
+		return [];
+	},
+
+	tick({lease, isStopping}, {nowMs}) {
+		return [...lease.duties.values()].flatMap(duty => isStopping ? [] : advanceDuty(lease, duty, nowMs));
+	},
+
+	'lease.readEnded'({lease, isStopping}, {dutyName, callId, result, nowMs}) {
+		const duty = settleCall(lease, dutyName, callId);
+		if (duty === undefined) {
+			return [];
+		}
+
+		duty.nextCallAtMs = nowMs + computeInterval(duty);
+		if (result.kind === 'failed' || isStopping) {
+			return [];
+		}
+
+		return settleRead(lease, duty, result, nowMs);
+	},
+
+	'lease.writeEnded'({lease, isStopping}, {dutyName, callId, result, nowMs}) {
+		const duty = settleCall(lease, dutyName, callId);
+		const write = duty?.writesInDoubt.at(-1);
+		if (duty === undefined || write === undefined || isStopping) {
+			return [];
+		}
+
+		if (result.kind === 'written') {
+			return settleWrite(duty, write, result.version, nowMs);
+		}
+
+		// A write refused is ours no more; a write unknown stays in doubt until the version moves.
+		if (result.kind === 'conflict') {
+			duty.writesInDoubt.pop();
+		}
+
+		return [readLease(lease, duty)];
+	},
+
+	'stop.requested'({lease}, {nowMs}) {
+		return [...lease.duties.values()].flatMap(duty => releaseDuty(lease, duty, nowMs));
+	},
+};
+
+function advanceDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
+	const lapsed = expireDuty(lease, duty, nowMs);
+	if (duty.callId !== undefined || nowMs < duty.nextCallAtMs) {
+		return lapsed;
+	}
+
+	return [...lapsed, duty.held === undefined ? readLease(lease, duty) : writeLease(lease, duty, nowMs)];
+}
+
+function expireDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
+	if (duty.held === undefined || nowMs < duty.held.expiresAtMs) {
+		return [];
+	}
+
+	const {epoch} = duty.held;
+	duty.held = undefined;
+	duty.nextCallAtMs = nowMs;
+	return [{
+		type: 'decision.record', name: 'lease.lapsed', subject: duty.name, detail: {epoch, holder: lease.instanceId},
+	}];
+}
+
+/** Takes the duty's call off, or tells that a reply is late by returning undefined. */
+function settleCall(lease: LeaseState, dutyName: string, callId: string): DutyState | undefined {
+	const duty = lease.duties.get(dutyName);
+	if (duty?.callId !== callId) {
+		return undefined;
+	}
+
+	duty.callId = undefined;
+	return duty;
+}
+
+type ReadObject = {readonly version: number; readonly record: LeaseRecord | undefined};
+
+function settleRead(lease: LeaseState, duty: DutyState, {version, record}: ReadObject, nowMs: number): readonly EntryEffect[] {
+	const own = duty.writesInDoubt.find(write => isSameWrite(write.record, record));
+	if (own !== undefined) {
+		return settleWrite(duty, own, version, nowMs);
+	}
+
+	if (version !== duty.version) {
+		duty.version = version;
+		duty.record = record;
+		duty.changeSeenAtMs = nowMs;
+		duty.writesInDoubt = [];
+		if (duty.held !== undefined) {
+			duty.held = undefined;
+			return [{
+				type: 'decision.record', name: 'lease.lost', subject: duty.name, detail: {to: record?.holder ?? 'nobody'},
+			}];
+		}
+	}
+
+	const bidAtMs = computeBidAt(lease, duty, nowMs);
+	if (duty.held !== undefined || nowMs < bidAtMs) {
+		duty.nextCallAtMs = duty.rank < CANDIDATE_COUNT ? Math.min(duty.nextCallAtMs, Math.max(bidAtMs, nowMs)) : duty.nextCallAtMs;
+		return [];
+	}
+
+	return [writeLease(lease, duty, nowMs)];
+}
+
+function isSameWrite(written: LeaseRecord, stored: LeaseRecord | undefined): boolean {
+	return stored?.holder === written.holder && stored.nonce === written.nonce;
+}
+
+/** A write of ours is known to have taken effect: its term counts from before it was sent. */
+function settleWrite(duty: DutyState, write: LeaseWrite, version: number, nowMs: number): readonly EntryEffect[] {
+	const isTaken = duty.held === undefined;
+	const expiresAtMs = write.sentAtMs + write.record.durationMs - LEASE_MARGIN_MS;
+	duty.version = version;
+	duty.record = write.record;
+	duty.changeSeenAtMs = nowMs;
+	duty.writesInDoubt = [];
+	duty.nextCallAtMs = write.sentAtMs + CALL_INTERVAL_MS;
+	if (nowMs >= expiresAtMs) {
+		duty.held = undefined;
+		return [];
+	}
+
+	duty.held = {epoch: write.record.epoch, expiresAtMs};
+	return isTaken
+		? [{
+			type: 'decision.record', name: 'lease.taken', subject: duty.name, detail: {epoch: write.record.epoch, holder: write.record.holder},
+		}]
+		: [];
+}
+
+/** Earliest time of a bid: the holder's whole term after the last change that this process saw, and no sooner than the next interval after an own write in doubt. */
+function computeBidAt(lease: LeaseState, duty: DutyState, nowMs: number): number {
+	const termMs = duty.record === undefined ? 0 : duty.record.durationMs + LEASE_MARGIN_MS;
+	const earliestMs = duty.changeSeenAtMs + termMs + (countHeldDuties(lease, nowMs) * SPREAD_WAIT_MS);
+	const doubted = duty.writesInDoubt.at(-1);
+	return doubted === undefined ? earliestMs : Math.max(earliestMs, doubted.sentAtMs + CALL_INTERVAL_MS);
+}
+
+function computeInterval(duty: DutyState): number {
+	return duty.held !== undefined || duty.rank < CANDIDATE_COUNT ? CALL_INTERVAL_MS : BACKGROUND_INTERVAL_MS;
+}
+
+function readLease(lease: LeaseState, duty: DutyState): EntryEffect {
+	duty.callId = createCallId(lease);
+	return {type: 'lease.read', dutyName: duty.name, callId: duty.callId};
+}
+
+/** Renews a lease that is held, and else bids for it under the next epoch. */
+function writeLease(lease: LeaseState, duty: DutyState, nowMs: number, durationMs = LEASE_DURATION_MS): EntryEffect {
+	const callId = createCallId(lease);
+	const record: LeaseRecord = {
+		holder: lease.instanceId,
+		epoch: duty.held?.epoch ?? (duty.record?.epoch ?? 0) + 1,
+		nonce: callId,
+		durationMs,
+	};
+	duty.callId = callId;
+	duty.writesInDoubt.push({record, sentAtMs: nowMs});
+	return {
+		type: 'lease.write', dutyName: duty.name, callId, record, expectedVersion: duty.version ?? 0,
+	};
+}
+
+/** Gives a duty up at a planned stop, so that a successor need not wait the term out. */
+function releaseDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
+	if (duty.held === undefined) {
+		return [];
+	}
+
+	const effect = writeLease(lease, duty, nowMs, 0);
+	duty.held = undefined;
+	return [effect];
+}
+
+function createCallId(lease: LeaseState): string {
+	lease.callCount += 1;
+	return `${lease.processId}.${lease.callCount}`;
+}
+
+function computeRankHash(dutyName: string, instanceId: string): string {
+	return hashText(`${dutyName}\n${instanceId}`);
+}
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -1,6 +1,7 @@
 import {
 	type Configuration, type Failure, type InstanceRecord, type LoadReport,
 } from '@damaskspool/shared';
+import {type LeaseEvent} from '../lease/leaseMessages.js';
 import {type BaseEvent} from './createReducer.js';
 
 /** What the edge read of a request before anything was decided. It holds no key, only the key's hash. */
@@ -66,4 +67,5 @@
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
-		| ConfigurationRead | InstancesListed | LoadReported | Tick | StopRequested;
+		| ConfigurationRead | InstancesListed | LoadReported | Tick | StopRequested
+		| LeaseEvent;
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,4 +1,5 @@
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
+import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
 import {createMembershipState, type MembershipState} from '../membership/membershipState.js';
 import {type RequestRecord} from '../request/requestRecord.js';
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
@@ -13,6 +14,7 @@
 	membership: MembershipState;
 	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
+	lease: LeaseState;
 };
 
 /** Options of {@link createEntryState}. */
@@ -21,6 +23,9 @@
 	readonly availabilityZone: string;
 	/** How targets are chosen; others than the default are there for experiments. */
 	readonly routingPolicy?: RoutingPolicyName;
+	readonly region?: string;
+	/** Differs in each process that ever runs under the same instance identifier. */
+	readonly processId?: string;
 };
 
 /**
@@ -30,13 +35,17 @@
  * @returns the state
  */
 export function createEntryState(options: EntryStateOptions): EntryState {
+	const {instanceId, availabilityZone, region = '', processId = instanceId} = options;
 	return {
-		instanceId: options.instanceId,
-		availabilityZone: options.availabilityZone,
+		instanceId,
+		availabilityZone,
 		isStopping: false,
 		configuration: createConfigurationState(),
 		membership: createMembershipState(),
 		routing: createRoutingState(options.routingPolicy),
 		requests: new Map(),
+		lease: createLeaseState({
+			instanceId, processId, availabilityZone, region,
+		}),
 	};
 }
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {
 	createEntryState, type EntryEffect, type EntryEvent, type EntryState, reduceEntry,
@@ -14,6 +15,7 @@
 import {toErrorBody} from './callerAnswer.js';
 import {createConfigurationPart} from './createConfigurationPart.js';
 import {createDecisionPart} from './createDecisionPart.js';
+import {createLeasePart} from './createLeasePart.js';
 import {createOperatorPart} from './createOperatorPart.js';
 import {createInstancesPart} from './createInstancesPart.js';
 import {createLoadPart} from './createLoadPart.js';
@@ -67,18 +69,20 @@
 
 	const requestPart = createRequestPart(context);
 	const decisionPart = createDecisionPart(context);
+	const leasePart = createLeasePart(context);
 	const parts: readonly EntryPart[] = [
 		requestPart,
 		decisionPart,
+		leasePart,
 		createConfigurationPart(context),
 		createInstancesPart(context),
 		createLoadPart(context),
 		createOperatorPart(context),
 	];
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
-		state: createEntryState(settings),
+		state: createEntryState({...settings, processId: randomUUID()}),
 		reduce: reduceEntry,
-		effectHandlers: {...requestPart.effectHandlers, ...decisionPart.effectHandlers},
+		effectHandlers: {...requestPart.effectHandlers, ...decisionPart.effectHandlers, ...leasePart.effectHandlers},
 	});
 
 	const answerOperations = createOperationsHandler({
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,6 +3,7 @@
 export * from './errors.js';
 export * from './headers.js';
 export * from './instanceRecord.js';
+export * from './leaseRecord.js';
 export * from './loadReport.js';
 export * from './outcomes.js';
 export * from './results.js';
