Plan roles and spending of a zone as pure functions

Cause: nothing decided on roles, starts and stops. Change: planZone compares the headroom (capacity over demand) of the present roles with that of every change of one target. It changes the one that gains most, if the gain by the short average is over a band, the long average does not contradict it, the target has dwelt in its role, a reserve stays mixed, and no work is left without a target that does it. Starts follow the long average and the forecast for a start's lead time; stops need a forecast and twice the capacity without the target. Averages and forecast are functions beside it, and every knob is a field of PlanSettings. Ruled out: a threshold on the share of prefill in the work, since a mixed target does both at once and the best split is not linear in the share; and a band on the gain of the whole service, which no single change reaches in a large zone, so the band counts in capacities of one target. Found by a property on the way: a stop could leave prefill to targets in role decode alone; stops now keep to the same check as role changes. Before: no planner. After: properties pass (one step at a time, never without a target for work that is asked, rests on a constant mix, never starts and stops in turn on a constant demand).

--- /dev/null
+++ b/packages/core/src/planning/planZone.ts
@@ -0,0 +1,50 @@
+import {toDemandViews} from './headroom.js';
+import {planRoleChange} from './planRoleChange.js';
+import {DEFAULT_PLAN_SETTINGS, type PlanSettings} from './planSettings.js';
+import {planSpending} from './planSpending.js';
+import {
+	type PlanZone, type PlannedTarget, type ServiceDemand, type ZonePlan, type ZonePlanInput,
+} from './zonePlan.js';
+
+/** A target in one of these states is out because of an earlier step. */
+const STEP_STATES: ReadonlySet<PlannedTarget['state']> = new Set(['changingRole', 'draining']);
+
+/**
+ * Plans the next step of an availability zone: a change of role where the mix
+ * of work asks for it, else a start or stop. One step at a time is under way.
+ *
+ * @param input - targets and demand of the zone
+ * @returns one step, or none, and the reason
+ */
+export const planZone: PlanZone = input => {
+	if (input.targets.some(target => STEP_STATES.has(target.state))) {
+		return {step: {kind: 'none'}, reason: 'a step is under way'};
+	}
+
+	const settings = {...DEFAULT_PLAN_SETTINGS, ...input.settings};
+	const plans = input.demands.map(demand => planService(input, demand, settings)).filter(plan => plan !== undefined);
+	return plans.find(plan => plan.step.kind === 'changeRole') ?? plans.at(0) ?? {step: {kind: 'none'}, reason: 'the targets fit the demand'};
+};
+
+function planService(input: ZonePlanInput, demand: ServiceDemand, settings: PlanSettings): ZonePlan | undefined {
+	const targets = input.targets.filter(target => target.serviceId === demand.serviceId);
+	if (targets.every(target => target.totalPieces === 0)) {
+		// A plain service has no roles, and its work is not counted in tokens.
+		return undefined;
+	}
+
+	const views = toDemandViews(demand, targets, settings);
+	const serving = targets.filter(target => target.state === 'serving');
+	const {nowMs, isDearerZone = false} = input;
+	return planRoleChange({
+		nowMs, serving, views, settings,
+	}) ?? planSpending({
+		nowMs,
+		serviceId: demand.serviceId,
+		targets,
+		views,
+		settings,
+		isDearerZone,
+		hasForecast: demand.forecastPrefillTokensRate !== undefined,
+	});
+}
--- a/packages/core/src/planning/zonePlan.ts
+++ b/packages/core/src/planning/zonePlan.ts
@@ -1,4 +1,5 @@
 import {type TargetRole, type TargetState} from '@damaskspool/shared';
+import {type PlanSettings} from './planSettings.js';
 
 /** What a plan knows of one target of its availability zone. */
 export type PlannedTarget = {
@@ -22,6 +23,9 @@
 	readonly longPrefillTokensRate: number;
 	readonly shortGeneratedTokensRate: number;
 	readonly longGeneratedTokensRate: number;
+	/** Highest rates expected within the time that a start takes; absent where there is no forecast. */
+	readonly forecastPrefillTokensRate?: number;
+	readonly forecastGeneratedTokensRate?: number;
 };
 
 /** Everything that a plan is made from. */
@@ -30,6 +34,10 @@
 	readonly availabilityZone: string;
 	readonly targets: readonly PlannedTarget[];
 	readonly demands: readonly ServiceDemand[];
+	/** Settings that differ from the defaults. */
+	readonly settings?: Partial<PlanSettings>;
+	/** Whether another availability zone could start a target for less; absent where it is not known. */
+	readonly isDearerZone?: boolean;
 };
 
 /** The one step that a zone takes next. A step is finished before the next is planned. */
