Store the configuration as a head and immutable parts, and take changes as edits

Cause: one object held the whole configuration.

Change: a head names 257 parts at most (services, customers by hash). A change is a list of edits, checked as a whole, written as the parts that differ, and accepted by one conditional update of the head. EntryContext.proposeChange takes it; its receipt is the new revision. The head remembers 64 changes: a lost reply is settled by reading back, a change proposed twice is accepted once, and an edit that would undo another operator's is a version conflict. Entries read the head and only the parts that they lack.

--- a/packages/bench/src/harness/startDeployment.ts
+++ b/packages/bench/src/harness/startDeployment.ts
@@ -1,11 +1,12 @@
 import {
-	CONFIGURATION_KEY, type ConfigurationDocument, hashText, type InstanceRecord,
+	type ConfigurationDocument, hashText, type InstanceRecord,
 } from '@damaskspool/shared';
 import {
 	createEngine, createPlainService, createPlatform, type Engine, type EngineOptions, type PlainService, type Platform,
 } from '@damaskspool/stand-ins';
 import {type Deployment, type Pool} from './deploymentFile.js';
 import {type DaemonProcess, startDaemonProcess} from './startDaemonProcess.js';
+import {writeFirstConfiguration} from './writeFirstConfiguration.js';
 
 /** One target with its sidecar. */
 export type RunningTarget = {
@@ -63,7 +64,7 @@
 	const {file} = deployment;
 	const platform = await createPlatform();
 	const keys = new Map(deployment.document.customers.map(({customerId}) => [customerId, createDemoKey(customerId)]));
-	platform.store.write(CONFIGURATION_KEY, {revision: 1, document: issueKeys(deployment.document, keys)}, 0);
+	writeFirstConfiguration(platform, issueKeys(deployment.document, keys));
 
 	const targets: RunningTarget[] = [];
 	const entries: DaemonProcess[] = [];
--- /dev/null
+++ b/packages/core/src/configuration/__tests__/planChange.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	type ConfigurationEdit, type ConfigurationHead, type ConfigurationProposal, ERROR_CODES, hashText,
+} from '@damaskspool/shared';
+import fc from 'fast-check';
+import {
+	applyUpdate, type ConfigurationCopy, createConfigurationCopy, createUpdate, toDocument,
+} from '../configurationCopy.js';
+import {planChange} from '../planChange.js';
+import {createTestDocument} from '../../request/__tests__/requestFixtures.js';
+
+const SEED = 20_261_204;
+const KEY_HASH = hashText('some key');
+
+type Stored = {head: ConfigurationHead | undefined; copy: ConfigurationCopy};
+
+/** Plans and, where it is to be written, writes: what a store does that loses nothing. */
+function acceptChange(stored: Stored, proposal: ConfigurationProposal, baseRevision = stored.head?.revision ?? 0) {
+	const planned = planChange({
+		...stored, proposal, baseRevision, documentId: proposal.changeId,
+	});
+	if (planned.ok && planned.val.kind === 'write') {
+		stored.head = planned.val.head;
+		assert.ok(applyUpdate(stored.copy, planned.val.update));
+	}
+
+	return planned;
+}
+
+function createStored(): Stored {
+	const stored: Stored = {head: undefined, copy: createConfigurationCopy()};
+	acceptChange(stored, {changeId: 'first-change', edits: [{type: 'setDocument', document: createTestDocument()}]});
+	return stored;
+}
+
+function createCustomerEdit(customerId: string, weight: number): ConfigurationEdit {
+	return {
+		type: 'setCustomer', customer: {
+			customerId, keyHashes: [], weight, operator: false,
+		},
+	};
+}
+
+describe('a change of the configuration', () => {
+	it('is refused before it is accepted where the whole would not be valid', () => {
+		const faults: ConfigurationEdit[][] = [
+			[{type: 'withdrawKey', customerId: 'nobody', keyHash: KEY_HASH}],
+			[{type: 'removeService', serviceId: 'nothing'}],
+			[{type: 'setService', service: {...createTestDocument().services[0]!, serviceId: 'again'}}],
+			[createCustomerEdit('d', 1), {type: 'issueKey', customerId: 'c', keyHash: KEY_HASH}, {type: 'issueKey', customerId: 'd', keyHash: KEY_HASH}],
+			[{
+				type: 'setCustomer', customer: {
+					customerId: 'd', keyHashes: [], weight: 1, operator: false, services: ['nothing'],
+				},
+			}],
+		];
+		for (const edits of faults) {
+			const planned = acceptChange(createStored(), {changeId: 'change-1', edits});
+			assert.equal(planned.err ? planned.val.code : undefined, ERROR_CODES.queryInvalid);
+		}
+	});
+
+	it('that overlaps another operator\'s is a conflict, and one that does not is kept beside it', () => {
+		const stored = createStored();
+		acceptChange(stored, {changeId: 'change-a', edits: [createCustomerEdit('d', 2)]}, 1);
+		const overlapping = acceptChange(stored, {changeId: 'change-b', edits: [createCustomerEdit('d', 3)]}, 1);
+		assert.equal(overlapping.err ? overlapping.val.code : undefined, ERROR_CODES.versionConflict);
+		acceptChange(stored, {changeId: 'change-c', edits: [createCustomerEdit('e', 4)]}, 1);
+		acceptChange(stored, {changeId: 'change-d', edits: [{type: 'issueKey', customerId: 'd', keyHash: KEY_HASH}]}, 1);
+		const customers = new Map(toDocument(stored.copy).customers.map(customer => [customer.customerId, customer]));
+		assert.deepEqual([customers.get('d')?.weight, customers.get('e')?.weight, customers.get('d')?.keyHashes], [2, 4, [KEY_HASH]]);
+	});
+
+	it('that was proposed again is accepted once', () => {
+		const stored = createStored();
+		const proposal = {changeId: 'change-a', edits: [createCustomerEdit('d', 2)]};
+		acceptChange(stored, proposal);
+		const again = acceptChange(stored, proposal);
+		assert.deepEqual(again.ok ? again.val : undefined, {kind: 'accepted', receipt: {changeId: 'change-a', revision: 2}});
+		assert.equal(stored.head?.revision, 2);
+	});
+
+	it('reaches a copy that missed any number of updates, in any order, and never reverts it', () => {
+		const steps = fc.array(fc.tuple(fc.nat(5), fc.integer({min: 1, max: 9}), fc.boolean()), {minLength: 1, maxLength: 90});
+		fc.assert(fc.property(steps, fc.array(fc.nat(100), {maxLength: 100}), (changes, late) => {
+			const stored = createStored();
+			const other = createConfigurationCopy();
+			const sent = [];
+			for (const [index, [customer, weight, isPassedOn]] of changes.entries()) {
+				acceptChange(stored, {changeId: `change-${index}`, edits: [createCustomerEdit(`customer-${customer}`, weight)]});
+				const update = createUpdate(stored.copy, other.revision)!;
+				sent.push(update);
+				if (isPassedOn) {
+					applyUpdate(other, update);
+				}
+			}
+
+			for (const index of late) {
+				const before = other.revision;
+				applyUpdate(other, sent[index % sent.length]!);
+				assert.ok(other.revision >= before, 'reverted');
+			}
+
+			const last = createUpdate(stored.copy, other.revision);
+			assert.ok(last === undefined || applyUpdate(other, last));
+			assert.deepEqual(toDocument(other), toDocument(stored.copy));
+		}), {seed: SEED, numRuns: 100});
+	});
+});
--- /dev/null
+++ b/packages/core/src/configuration/applyEdits.ts
@@ -0,0 +1,70 @@
+import {
+	type ConfigurationDocument, type ConfigurationEdit, createFailure, type CustomerConfiguration, Err, ERROR_CODES, type Failure, Ok, type Result,
+} from '@damaskspool/shared';
+import {checkDocument} from './checkDocument.js';
+
+type EditResult = Result<ConfigurationDocument, Failure>;
+type EditHandlers = {
+	readonly [Type in ConfigurationEdit['type']]: (document: ConfigurationDocument, edit: Extract<ConfigurationEdit, {type: Type}>) => EditResult;
+};
+
+const EDIT_HANDLERS: EditHandlers = {
+	setService: (document, {service}) => Ok({
+		...document,
+		services: [...document.services.filter(({serviceId}) => serviceId !== service.serviceId), service],
+	}),
+	removeService(document, {serviceId}) {
+		const services = document.services.filter(service => service.serviceId !== serviceId);
+		return services.length === document.services.length ? refuseEdit(`there is no service "${serviceId}"`) : Ok({...document, services});
+	},
+	setCustomer: (document, {customer}) => Ok({
+		...document,
+		customers: [...document.customers.filter(({customerId}) => customerId !== customer.customerId), customer],
+	}),
+	removeCustomer(document, {customerId}) {
+		const customers = document.customers.filter(customer => customer.customerId !== customerId);
+		return customers.length === document.customers.length ? refuseEdit(`there is no customer "${customerId}"`) : Ok({...document, customers});
+	},
+	issueKey: (document, {customerId, keyHash}) => changeCustomer(document, customerId, customer => ({
+		...customer,
+		keyHashes: [...new Set([...customer.keyHashes, keyHash])],
+	})),
+	withdrawKey: (document, {customerId, keyHash}) => changeCustomer(document, customerId, customer => ({
+		...customer,
+		keyHashes: customer.keyHashes.filter(known => known !== keyHash),
+	})),
+	setDocument: (_document, {document}) => Ok(document),
+};
+
+/**
+ * Applies edits to a document and checks the result as a whole.
+ *
+ * @param document - document that the edits start from
+ * @param edits - edits, applied in order
+ * @returns the new document, or why it is not valid
+ */
+export function applyEdits(document: ConfigurationDocument, edits: readonly ConfigurationEdit[]): EditResult {
+	let edited: EditResult = Ok(document);
+	for (const edit of edits) {
+		const handle = EDIT_HANDLERS[edit.type] as (document: ConfigurationDocument, edit: ConfigurationEdit) => EditResult;
+		edited = edited.andThen(current => handle(current, edit));
+	}
+
+	return edited.andThen(current => checkDocument(current));
+}
+
+function changeCustomer(
+	document: ConfigurationDocument,
+	customerId: string,
+	change: (customer: CustomerConfiguration) => CustomerConfiguration,
+): EditResult {
+	const index = document.customers.findIndex(customer => customer.customerId === customerId);
+	const customer = document.customers[index];
+	return customer === undefined
+		? refuseEdit(`there is no customer "${customerId}"`)
+		: Ok({...document, customers: document.customers.with(index, change(customer))});
+}
+
+function refuseEdit(detail: string): EditResult {
+	return Err(createFailure(ERROR_CODES.queryInvalid, {detail}));
+}
--- a/packages/core/src/configuration/configurationHandlers.ts
+++ b/packages/core/src/configuration/configurationHandlers.ts
@@ -2,6 +2,7 @@
 import {type EntryEffect} from '../reducer/entryEffects.js';
 import {type EntryEvent} from '../reducer/entryEvents.js';
 import {type EntryState} from '../reducer/entryState.js';
+import {applyUpdate, toDocument} from './configurationCopy.js';
 import {applyConfiguration} from './configurationState.js';
 
 /** Handlers by which an entry puts configurations in force. */
@@ -19,4 +20,17 @@
 			detail: {revision: configuration.revision},
 		}];
 	},
+
+	'configuration.updated'(state, {update, source}) {
+		const {configuration, instanceId} = state;
+		if (!applyUpdate(configuration.copy, update)) {
+			return [];
+		}
+
+		const {revision} = configuration.copy;
+		applyConfiguration(configuration, {revision, document: toDocument(configuration.copy)});
+		return [{
+			type: 'decision.record', name: 'configuration.applied', subject: instanceId, detail: {revision, source},
+		}];
+	},
 };
--- a/packages/core/src/configuration/configurationState.ts
+++ b/packages/core/src/configuration/configurationState.ts
@@ -4,6 +4,7 @@
 	type RouteConfiguration,
 	type ServiceConfiguration,
 } from '@damaskspool/shared';
+import {type ConfigurationCopy, createConfigurationCopy} from './configurationCopy.js';
 
 /** A service together with the route of it that a request took. */
 export type ResolvedRoute = {
@@ -15,8 +16,10 @@
 export type ConfigurationState = {
 	/** Minus one until the first configuration was read. */
 	revision: number;
-	/** When the store, or a peer with a current view, last confirmed the revision in force. */
+	/** When the store, a peer with a current view, or all peers of an outage last confirmed the revision in force. */
 	confirmedAtMs: number;
+	/** The stored parts, for passing on; the rest is built from them. */
+	copy: ConfigurationCopy;
 	services: Map<string, ServiceConfiguration>;
 	customers: Map<string, CustomerConfiguration>;
 	customerIdByKeyHash: Map<string, string>;
@@ -33,6 +36,7 @@
 	return {
 		revision: -1,
 		confirmedAtMs: Number.NEGATIVE_INFINITY,
+		copy: createConfigurationCopy(),
 		services: new Map(),
 		customers: new Map(),
 		customerIdByKeyHash: new Map(),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,10 +1,14 @@
 export * from './admission/admissionHandlers.js';
 export * from './admission/admissionState.js';
+export * from './configuration/applyEdits.js';
+export * from './configuration/checkDocument.js';
+export * from './configuration/configurationCopy.js';
 export * from './configuration/configurationHandlers.js';
 export * from './configuration/configurationState.js';
 export * from './lease/leaseHandlers.js';
 export type * from './lease/leaseMessages.js';
 export * from './lease/leaseState.js';
+export * from './configuration/planChange.js';
 export * from './membership/membershipHandlers.js';
 export * from './membership/membershipState.js';
 export * from './reducer/createReducer.js';
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -1,5 +1,5 @@
 import {
-	type Configuration, type Failure, type InstanceRecord, type LoadReport,
+	type Configuration, type ConfigurationUpdate, type Failure, type InstanceRecord, type LoadReport,
 } from '@damaskspool/shared';
 import {type LeaseEvent} from '../lease/leaseMessages.js';
 import {type BaseEvent} from './createReducer.js';
@@ -55,6 +55,11 @@
 export type CallerLeft = Timed<'caller.left', {readonly requestId: string}>;
 /** A configuration was read from the object API or a peer. */
 export type ConfigurationRead = Timed<'configuration.read', {readonly configuration: Configuration}>;
+/** A later revision came from the store, from a peer, or by a change that this entry proposed. */
+export type ConfigurationUpdated = Timed<'configuration.updated', {
+	readonly update: ConfigurationUpdate;
+	readonly source: 'store' | 'peer' | 'proposal';
+}>;
 /** The platform's instance list was read. */
 export type InstancesListed = Timed<'instances.listed', {readonly instances: readonly InstanceRecord[]}>;
 /** A sidecar reported its load. */
@@ -67,5 +72,5 @@
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
-		| ConfigurationRead | InstancesListed | LoadReported | Tick | StopRequested
+		| ConfigurationRead | ConfigurationUpdated | InstancesListed | LoadReported | Tick | StopRequested
 		| LeaseEvent;
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -64,17 +64,19 @@
 			loop.dispatch(event);
 		},
 		readState: () => loop.state,
+		proposeChange: async proposal => configurationPart.proposeChange(proposal),
 		readClock: () => loop.readClock(),
 	};
 
 	const requestPart = createRequestPart(context);
 	const decisionPart = createDecisionPart(context);
+	const configurationPart = createConfigurationPart(context);
 	const leasePart = createLeasePart(context);
 	const parts: readonly EntryPart[] = [
 		requestPart,
 		decisionPart,
 		leasePart,
-		createConfigurationPart(context),
+		configurationPart,
 		createInstancesPart(context),
 		createLoadPart(context),
 		createOperatorPart(context),
--- a/packages/daemon/src/entry/entryPart.ts
+++ b/packages/daemon/src/entry/entryPart.ts
@@ -2,6 +2,9 @@
 import {
 	type EffectHandlers, type Logger, type Metrics, type ObjectApiClient, type RpcCaller, type RpcMethods, type UntimedEvent,
 } from '@damaskspool/runtime';
+import {
+	type ChangeReceipt, type ConfigurationProposal, type Failure, type Result,
+} from '@damaskspool/shared';
 import {type EntrySettings} from '../settings.js';
 
 /** What every part of an entry may use. */
@@ -15,6 +18,8 @@
 	readonly readControlAddress: () => string;
 	readonly dispatch: (event: UntimedEvent<EntryEvent>) => void;
 	readonly readState: () => EntryState;
+	/** Proposes a change of the configuration; accepted once the receipt is there. */
+	readonly proposeChange: (proposal: ConfigurationProposal) => Promise<Result<ChangeReceipt, Failure>>;
 	readonly readClock: () => number;
 };
 
--- a/packages/shared/src/configurationDocument.ts
+++ b/packages/shared/src/configurationDocument.ts
@@ -12,7 +12,8 @@
 	bodyLimitBytes: z.number().int().positive(),
 });
 
-const serviceSchema = z.strictObject({
+/** Schema of one service. */
+export const serviceSchema = z.strictObject({
 	serviceId: z.string().min(1),
 	kind: z.enum(['model', 'plain']),
 	routes: z.array(routeSchema).min(1),
@@ -22,7 +23,8 @@
 	betweenTokensGoalMs: z.number().positive().default(41),
 });
 
-const customerSchema = z.strictObject({
+/** Schema of one customer. */
+export const customerSchema = z.strictObject({
 	customerId: z.string().min(1),
 	keyHashes: z.array(z.string().length(64)),
 	requestsPerSecond: z.number().positive().optional(),
@@ -53,10 +55,7 @@
 /** One customer of the configuration. */
 export type CustomerConfiguration = z.infer<typeof customerSchema>;
 
-/**
- * The configuration in force: a rising revision and its document. It is one
- * object, so that one conditional update accepts a change whole.
- */
+/** The configuration in force: a rising revision and its document. */
 export const configurationSchema = z.strictObject({
 	revision: z.number().int().nonnegative(),
 	document: configurationDocumentSchema,
@@ -64,6 +63,3 @@
 
 /** See {@link configurationSchema}. */
 export type Configuration = z.infer<typeof configurationSchema>;
-
-/** Key of the configuration object in the object API. */
-export const CONFIGURATION_KEY = 'configuration/current';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,6 @@
 export * from './configurationDocument.js';
+export * from './configurationEdit.js';
+export * from './configurationHead.js';
 export * from './digests.js';
 export * from './errors.js';
 export * from './headers.js';
