Order a zone's targets under the fleet duty

Nobody could tell a target to change its role, load a model or leave. The holder of fleet/<zone> now writes orders ahead as desired states in one object, a successor first rewrites that object under its own epoch, and each order is offered to the target's sidecar until it has ended. The sidecar takes one at a time, only above all that it has seen, and only under a proof of the holder's remaining term that counts from when the question was sent; it asks again right before the target is changed. The life of a target is a state machine; a role change and a stop drain first. Starts and stops are intents under idempotency keys, written ahead. A look for drift each second adopts, repairs and replaces. The engine stand-in takes orders, with or without a fencing check, and crashes on demand.

--- a/packages/core/src/admission/admissionHandlers.ts
+++ b/packages/core/src/admission/admissionHandlers.ts
@@ -47,17 +47,6 @@
 		admission.role = event.role;
 		admission.models = event.models;
 		admission.reportedAtMs = event.nowMs;
-		if (admission.lifeState === 'starting' && event.isReady) {
-			admission.lifeState = 'serving';
-		}
-
-		// A target that is not ready while it serves is changing its role.
-		if (admission.lifeState === 'serving' && !event.isReady) {
-			admission.lifeState = 'changingRole';
-		} else if (admission.lifeState === 'changingRole' && event.isReady) {
-			admission.lifeState = 'serving';
-		}
-
 		return startFittingWork(admission);
 	},
 
@@ -69,7 +58,6 @@
 
 	'stop.requested'(state) {
 		state.isStopping = true;
-		state.admission.lifeState = 'leaving';
 		const refused = state.admission.waiting;
 		state.admission.waiting = [];
 		return refused.map(work => refuseWork(work, ERROR_CODES.leaving));
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -1,4 +1,5 @@
 import {type Failure} from '@damaskspool/shared';
+import {type FleetEffect} from '../fleet/fleetMessages.js';
 import {type LeaseEffect} from '../lease/leaseMessages.js';
 
 /** Sends one attempt of a request to the sidecar of a target. */
@@ -30,4 +31,4 @@
 };
 
 /** Every effect of an entry. */
-export type EntryEffect = SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision | LeaseEffect;
+export type EntryEffect = SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision | LeaseEffect | FleetEffect;
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -1,6 +1,7 @@
 import {
 	type Configuration, type ConfigurationUpdate, type Failure, type InstanceRecord, type LoadReport,
 } from '@damaskspool/shared';
+import {type FleetEvent} from '../fleet/fleetMessages.js';
 import {type LeaseEvent} from '../lease/leaseMessages.js';
 import {type BaseEvent} from './createReducer.js';
 
@@ -73,4 +74,4 @@
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
 		| ConfigurationRead | ConfigurationUpdated | InstancesListed | LoadReported | Tick | StopRequested
-		| LeaseEvent;
+		| LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,4 +1,5 @@
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
+import {fleetHandlers} from '../fleet/fleetHandlers.js';
 import {leaseHandlers} from '../lease/leaseHandlers.js';
 import {membershipHandlers} from '../membership/membershipHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
@@ -10,5 +11,5 @@
 
 /** Decides everything that an entry does. */
 export const reduceEntry = createReducer<EntryState, EntryEvent, EntryEffect>({
-	tables: [routingHandlers, configurationHandlers, membershipHandlers, requestHandlers, leaseHandlers],
+	tables: [routingHandlers, configurationHandlers, membershipHandlers, requestHandlers, leaseHandlers, fleetHandlers],
 });
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,6 +1,8 @@
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
+import {createFleetState, type FleetState} from '../fleet/fleetState.js';
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
 import {createMembershipState, type MembershipState} from '../membership/membershipState.js';
+import {type PlanZone} from '../planning/zonePlan.js';
 import {type RequestRecord} from '../request/requestRecord.js';
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
 import {createRoutingState, type RoutingState} from '../routing/routingState.js';
@@ -15,6 +17,7 @@
 	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
 	lease: LeaseState;
+	fleet: FleetState;
 };
 
 /** Options of {@link createEntryState}. */
@@ -26,6 +29,8 @@
 	readonly region?: string;
 	/** Differs in each process that ever runs under the same instance identifier. */
 	readonly processId?: string;
+	/** Planner of the own zone's next step. */
+	readonly planZone?: PlanZone;
 };
 
 /**
@@ -35,7 +40,7 @@
  * @returns the state
  */
 export function createEntryState(options: EntryStateOptions): EntryState {
-	const {instanceId, availabilityZone, region = '', processId = instanceId} = options;
+	const {instanceId, availabilityZone, region = '', processId = instanceId, planZone} = options;
 	return {
 		instanceId,
 		availabilityZone,
@@ -47,5 +52,6 @@
 		lease: createLeaseState({
 			instanceId, processId, availabilityZone, region,
 		}),
+		fleet: createFleetState({availabilityZone, ...(planZone !== undefined && {planZone})}),
 	};
 }
--- a/packages/core/src/reducer/sidecarEffects.ts
+++ b/packages/core/src/reducer/sidecarEffects.ts
@@ -1,4 +1,5 @@
 import {type Failure} from '@damaskspool/shared';
+import {type OrderEffect} from '../fleet/orderMessages.js';
 
 /** Hands admitted work to the target. */
 export type StartWork = {readonly type: 'work.start'; readonly attemptId: string};
@@ -15,4 +16,4 @@
 };
 
 /** Every effect of a sidecar. */
-export type SidecarEffect = StartWork | RefuseWork | CancelWork | RecordSidecarDecision;
+export type SidecarEffect = StartWork | RefuseWork | CancelWork | RecordSidecarDecision | OrderEffect;
--- a/packages/core/src/reducer/sidecarEvents.ts
+++ b/packages/core/src/reducer/sidecarEvents.ts
@@ -1,5 +1,6 @@
 import {type TargetRole} from '@damaskspool/shared';
 import {type Work} from '../admission/admissionState.js';
+import {type OrderEvent} from '../fleet/orderMessages.js';
 import {type BaseEvent} from './createReducer.js';
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
@@ -28,4 +29,4 @@
 /** Every event of a sidecar. */
 export type SidecarEvent
 	= | WorkReceived | WorkAnswered | WorkEnded | WorkCancelled | TargetReported | TargetSilent
-		| SidecarTick | SidecarStopRequested;
+		| SidecarTick | SidecarStopRequested | OrderEvent;
--- a/packages/core/src/reducer/sidecarReducer.ts
+++ b/packages/core/src/reducer/sidecarReducer.ts
@@ -1,4 +1,6 @@
 import {admissionHandlers} from '../admission/admissionHandlers.js';
+import {orderHandlers} from '../fleet/orderHandlers.js';
+import {targetLifeHandlers} from '../fleet/targetLifeHandlers.js';
 import {createReducer} from './createReducer.js';
 import {type SidecarEffect} from './sidecarEffects.js';
 import {type SidecarEvent} from './sidecarEvents.js';
@@ -6,5 +8,5 @@
 
 /** Decides everything that a sidecar does. */
 export const reduceSidecar = createReducer<SidecarState, SidecarEvent, SidecarEffect>({
-	tables: [admissionHandlers],
+	tables: [targetLifeHandlers, admissionHandlers, orderHandlers],
 });
--- a/packages/core/src/reducer/sidecarState.ts
+++ b/packages/core/src/reducer/sidecarState.ts
@@ -1,3 +1,4 @@
+import {createOrderState, type OrderState} from '../fleet/orderState.js';
 import {type AdmissionState, type Capacity} from '../admission/admissionState.js';
 
 /** The whole state of a sidecar's decisions. */
@@ -5,12 +6,15 @@
 	readonly instanceId: string;
 	isStopping: boolean;
 	admission: AdmissionState;
+	orders: OrderState;
 };
 
 /** Options of {@link createSidecarState}. */
 export type SidecarStateOptions = {
 	readonly instanceId: string;
 	readonly capacity: Capacity;
+	/** Differs in each process that ever runs beside this target. */
+	readonly processId?: string;
 };
 
 /**
@@ -23,6 +27,7 @@
 	return {
 		instanceId: options.instanceId,
 		isStopping: false,
+		orders: createOrderState(options.processId ?? options.instanceId),
 		admission: {
 			targetId: options.instanceId,
 			capacity: options.capacity,
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -15,6 +15,7 @@
 import {toErrorBody} from './callerAnswer.js';
 import {createConfigurationPart} from './createConfigurationPart.js';
 import {createDecisionPart} from './createDecisionPart.js';
+import {createFleetPart} from './createFleetPart.js';
 import {createLeasePart} from './createLeasePart.js';
 import {createOperatorPart} from './createOperatorPart.js';
 import {createInstancesPart} from './createInstancesPart.js';
@@ -72,11 +73,13 @@
 	const decisionPart = createDecisionPart(context);
 	const configurationPart = createConfigurationPart(context);
 	const leasePart = createLeasePart(context);
+	const fleetPart = createFleetPart(context);
 	const parts: readonly EntryPart[] = [
 		requestPart,
 		decisionPart,
 		leasePart,
 		configurationPart,
+		fleetPart,
 		createInstancesPart(context),
 		createLoadPart(context),
 		createOperatorPart(context),
@@ -84,7 +87,9 @@
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
 		state: createEntryState({...settings, processId: randomUUID()}),
 		reduce: reduceEntry,
-		effectHandlers: {...requestPart.effectHandlers, ...decisionPart.effectHandlers, ...leasePart.effectHandlers},
+		effectHandlers: {
+			...requestPart.effectHandlers, ...decisionPart.effectHandlers, ...leasePart.effectHandlers, ...fleetPart.effectHandlers,
+		},
 	});
 
 	const answerOperations = createOperationsHandler({
--- a/packages/daemon/src/sidecar/createSidecar.ts
+++ b/packages/daemon/src/sidecar/createSidecar.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:http';
 import {
 	createSidecarState, reduceSidecar, type SidecarEffect, type SidecarEvent, type SidecarState,
@@ -10,6 +11,7 @@
 import {createOperationsHandler} from '../createOperationsHandler.js';
 import {type SidecarSettings} from '../settings.js';
 import {stopServer} from '../stopServer.js';
+import {createOrderPart} from './createOrderPart.js';
 import {createReportPart} from './createReportPart.js';
 import {createSidecarDecisionPart} from './createSidecarDecisionPart.js';
 import {createWorkPart} from './createWorkPart.js';
@@ -63,14 +65,16 @@
 
 	const workPart = createWorkPart(context);
 	const decisionPart = createSidecarDecisionPart(context);
-	const parts: readonly SidecarPart[] = [workPart, decisionPart, createReportPart(context)];
+	const orderPart = createOrderPart(context);
+	const parts: readonly SidecarPart[] = [workPart, decisionPart, orderPart, createReportPart(context)];
 	const loop = createLoop<SidecarState, SidecarEvent, SidecarEffect>({
 		state: createSidecarState({
 			instanceId: settings.instanceId,
+			processId: randomUUID(),
 			capacity: {concurrency: settings.concurrency, pieces: settings.pieces, queueLimit: settings.queueLimit},
 		}),
 		reduce: reduceSidecar,
-		effectHandlers: {...workPart.effectHandlers, ...decisionPart.effectHandlers},
+		effectHandlers: {...workPart.effectHandlers, ...decisionPart.effectHandlers, ...orderPart.effectHandlers},
 	});
 
 	const answerOperations = createOperationsHandler({
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,6 +3,7 @@
 export * from './configurationHead.js';
 export * from './digests.js';
 export * from './errors.js';
+export * from './fleetRecord.js';
 export * from './headers.js';
 export * from './instanceRecord.js';
 export * from './leaseRecord.js';
--- a/packages/shared/src/loadReport.ts
+++ b/packages/shared/src/loadReport.ts
@@ -21,7 +21,7 @@
 	/** Role of the target: what share of the batch it gives to prefill. */
 	role: z.enum(['mixed', 'prefill', 'decode']),
 	/** Life of the target, as in docs/GLOSSARY.md. */
-	state: z.enum(['starting', 'serving', 'draining', 'changingRole', 'leaving', 'gone']),
+	state: z.enum(['starting', 'loading', 'serving', 'draining', 'changingRole', 'leaving', 'gone']),
 	models: z.array(z.string()),
 	running: z.number().int().nonnegative(),
 	waiting: z.number().int().nonnegative(),
--- a/packages/stand-ins/src/engine/createEngine.ts
+++ b/packages/stand-ins/src/engine/createEngine.ts
@@ -4,6 +4,7 @@
 	sendJson, serveJson, type StandIn, type StandInRequest,
 } from '../serveJson.js';
 import {type Batch, createBatch} from './createBatch.js';
+import {createEngineOrders, type EngineOrder} from './createEngineOrders.js';
 import {createLaggedLog} from './createLaggedLog.js';
 import {type EngineOptions, resolveEngineSettings} from './engineOptions.js';
 import {createSequence} from './engineSequence.js';
@@ -25,6 +26,11 @@
 	readonly readRole: () => TargetRole;
 	/** Changes the role; resolves when the engine serves again. */
 	readonly changeRole: (role: TargetRole) => Promise<void>;
+	/** Orders that came in from whoever sent them. */
+	readonly orders: readonly EngineOrder[];
+	readonly countOrderOverlaps: () => number;
+	/** Breaks every connection and takes none for a time; the engine comes back as it was first started. */
+	readonly crash: (downMs: number) => void;
 };
 
 /** Handles one kind of request. */
@@ -41,8 +47,21 @@
 export async function createEngine(options: EngineOptions): Promise<Engine> {
 	const settings = resolveEngineSettings(options);
 	const cacheEvents = createLaggedLog({lagMs: settings.cacheEventLagMs, gapEvery: settings.cacheEventGapEvery});
-	const batch = createBatch(settings, cacheEvents.append);
+	let batch = createBatch(settings, cacheEvents.append);
+	let models = [...settings.models];
 	let keysSeen = 0;
+	let isDown = false;
+	const openResponses = new Set<ServerResponse>();
+	const orders = createEngineOrders({
+		checksFencing: settings.checksFencing,
+		changeRole: async role => batch.changeRole(role),
+		async loadModel(modelId) {
+			await new Promise(resolve => {
+				setTimeout(resolve, settings.loadMs).unref();
+			});
+			models = [...new Set([...models, modelId])];
+		},
+	});
 
 	const handlers: Readonly<Record<string, EngineHandler>> = {
 		'POST /v1/chat/completions'(request, response) {
@@ -55,12 +74,13 @@
 			batch.add(sequence);
 		},
 		'GET /report'(request, response) {
-			const report = createReport(batch, settings.models);
+			const report = createReport(batch, models);
 			const events = cacheEvents.list(Number(request.query.get('after') ?? 0));
 			setTimeout(() => {
 				sendJson(response, 200, {...report, cacheEvents: events});
 			}, settings.reportLagMs);
 		},
+		'POST /orders': orders.handle,
 		async 'POST /role'(request, response) {
 			await batch.changeRole((JSON.parse(request.body) as {role: TargetRole}).role);
 			sendJson(response, 200, {role: batch.readRole()});
@@ -85,6 +105,15 @@
 	};
 
 	const server = await serveJson(async (request, response) => {
+		if (isDown) {
+			response.destroy();
+			return;
+		}
+
+		openResponses.add(response);
+		response.on('close', () => {
+			openResponses.delete(response);
+		});
 		if (request.everything.includes(settings.keyMarker)) {
 			keysSeen += 1;
 		}
@@ -99,9 +128,24 @@
 	}, options.port);
 	return {
 		address: server.address,
-		readRole: batch.readRole,
-		changeRole: batch.changeRole,
+		readRole: () => batch.readRole(),
+		changeRole: async role => batch.changeRole(role),
+		orders: orders.log,
+		countOrderOverlaps: orders.countOverlaps,
 		readStats: () => ({...batch.counts, keysSeen, running: batch.countRunning() + batch.countWaiting()}),
+		crash(downMs) {
+			isDown = true;
+			for (const response of openResponses) {
+				response.destroy();
+			}
+
+			batch.close();
+			batch = createBatch(settings, cacheEvents.append);
+			models = [...settings.models];
+			setTimeout(() => {
+				isDown = false;
+			}, downMs).unref();
+		},
 		async close() {
 			batch.close();
 			await server.close();
--- a/packages/stand-ins/src/engine/engineOptions.ts
+++ b/packages/stand-ins/src/engine/engineOptions.ts
@@ -27,6 +27,10 @@
 	readonly cacheEventGapEvery?: number;
 	/** Tokens whose KV cache is exported or imported in a millisecond. */
 	readonly transferTokensPerMs?: number;
+	/** Whether orders with an old fencing number are refused. */
+	readonly checksFencing?: boolean;
+	/** Time that it takes to load a model, adapter or version. */
+	readonly loadMs?: number;
 	/** Text by which an API key is known wherever it turns up. */
 	readonly keyMarker?: string;
 };
@@ -47,6 +51,8 @@
 	cacheEventLagMs: 200,
 	cacheEventGapEvery: 0,
 	transferTokensPerMs: 200,
+	checksFencing: false,
+	loadMs: 500,
 	keyMarker: 'dmsk_',
 } as const;
 
