Decide on usage: metering twice, windows sealed once, reports under the duty

Cause: usage was counted nowhere. It is billed, so each window needs one figure whoever is killed, paused or cut off.

Change: core meters each attempt at the entry and at the sidecar. The entry compares figures with the sidecar, stores them in its own ledger object and tells the sidecar, which stores what no entry settled. The usage duty's holder freezes each ledger once a window, writes the figures in parts and creates the seal once. Ranges of sequence numbers tell what is counted already.

--- /dev/null
+++ b/packages/core/src/usage/entryUsage.ts
@@ -0,0 +1,277 @@
+/** How an entry meters: it counts each attempt, compares with the sidecar, and stores the figures in its ledger. */
+import {
+	type AttemptUsage, toLedgerKey, toLedgerNamePrefix, toSealKey, type UsageCounts, type UsageFigures, usageFiguresSchema,
+	type UsageLedger, usageLedgerSchema, type UsageSeal,
+} from '@damaskspool/shared';
+import {type CallUsage, type UsageCall, type UsageReply} from './usageCalls.js';
+import {mergeUsageCounts} from './usageCounts.js';
+import {createUsageLedger, isAccounted, settleAttempts} from './usageLedger.js';
+
+/** Times that a sidecar is asked for its figures before the entry's own stand alone. */
+const ASK_LIMIT = 3;
+
+/** An attempt whose usage is not stored yet. */
+export type MeteredAttempt = {
+	usage: AttemptUsage;
+	/** Where the sidecar that ran it is reached. */
+	readonly address: string;
+	isEnded: boolean;
+	/** The figures are final: compared with the sidecar, or the sidecar did not answer. */
+	isFinal: boolean;
+	askCount: number;
+};
+
+/** What an entry knows of the usage that it metered. */
+export type EntryUsageState = {
+	readonly region: string;
+	readonly ledgerId: string;
+	attempts: Map<number, MeteredAttempt>;
+	/** Stored attempts that their sidecar has not been told of, by its address. */
+	acknowledgements: Map<string, number[]>;
+	/** The ledger as last stored. */
+	ledger: UsageLedger;
+	/** Version of the stored ledger; zero before the first write. */
+	version: number;
+	isNamed: boolean;
+	isStopping: boolean;
+	callCount: number;
+	/** What each call under way was for. */
+	calls: Map<string, PendingCall>;
+};
+
+type PendingCall
+	= | {readonly purpose: 'settle'; readonly address: string; readonly settled: readonly number[]; readonly asked: readonly number[]}
+		| {readonly purpose: 'name'}
+		| {readonly purpose: 'store'; readonly ledger: UsageLedger}
+		| {readonly purpose: 'readBack'}
+		| {readonly purpose: 'checkSeal'; readonly window: number};
+
+/**
+ * Creates the state of an entry that metered nothing.
+ *
+ * @param region - region of the entry
+ * @param ledgerId - names this run of the entry among all runs ever
+ * @returns the state
+ */
+export function createEntryUsageState(region: string, ledgerId: string): EntryUsageState {
+	return {
+		region,
+		ledgerId,
+		attempts: new Map(),
+		acknowledgements: new Map(),
+		ledger: createUsageLedger(ledgerId),
+		version: 0,
+		isNamed: false,
+		isStopping: false,
+		callCount: 0,
+		calls: new Map(),
+	};
+}
+
+/**
+ * Counts the end of an attempt.
+ *
+ * @param state - usage to change
+ * @param sequence - number of the attempt
+ * @param counts - what the entry saw of it
+ */
+export function recordAttemptEnd(state: EntryUsageState, sequence: number, counts: UsageCounts): void {
+	const metered = state.attempts.get(sequence);
+	if (metered !== undefined) {
+		metered.usage = {...metered.usage, ...counts};
+		metered.isEnded = true;
+	}
+}
+
+/**
+ * Starts a flush: figures are compared with every sidecar concerned, then
+ * stored in one write. A flush still under way is left to end.
+ *
+ * @param state - usage to change
+ * @returns calls to make
+ */
+export function advanceEntryFlush(state: EntryUsageState): CallUsage[] {
+	if (state.calls.size > 0) {
+		return [];
+	}
+
+	const asked = [...state.attempts.values()].filter(({isEnded, isFinal}) => isEnded && !isFinal);
+	const askedByAddress = new Map<string, MeteredAttempt[]>();
+	for (const metered of asked) {
+		const metering = askedByAddress.get(metered.address) ?? [];
+		metering.push(metered);
+		askedByAddress.set(metered.address, metering);
+	}
+
+	const addresses = new Set([...askedByAddress.keys(), ...state.acknowledgements.keys()]);
+	const calls = [...addresses].map(address => settleWith(state, address, askedByAddress.get(address) ?? []));
+	return calls.length > 0 ? calls : storeLedger(state);
+}
+
+/**
+ * Takes the reply to a call of this entry's flush.
+ *
+ * @param state - usage to change
+ * @param callId - the call
+ * @param reply - what became of it
+ * @returns calls to make
+ */
+export function applyEntryReply(state: EntryUsageState, callId: string, reply: UsageReply): CallUsage[] {
+	const pending = state.calls.get(callId);
+	if (pending === undefined) {
+		return [];
+	}
+
+	state.calls.delete(callId);
+	const handle = REPLY_HANDLERS[pending.purpose] as (state: EntryUsageState, pending: PendingCall, reply: UsageReply) => CallUsage[];
+	return handle(state, pending, reply);
+}
+
+type ReplyHandlers = {
+	readonly [Purpose in PendingCall['purpose']]:
+	(state: EntryUsageState, pending: Extract<PendingCall, {purpose: Purpose}>, reply: UsageReply) => CallUsage[];
+};
+
+const REPLY_HANDLERS: ReplyHandlers = {
+	settle(state, pending, reply) {
+		const figures = reply.status === 'ok' ? usageFiguresSchema.safeParse(reply.value).data : undefined;
+		if (figures === undefined) {
+			keepAcknowledgements(state, pending.address, pending.settled);
+		} else {
+			applyFigures(state, figures);
+		}
+
+		finalizeUnanswered(state, pending.asked);
+		return state.calls.size === 0 ? storeLedger(state) : [];
+	},
+
+	name(state, _pending, reply) {
+		state.isNamed = reply.status === 'ok' || reply.status === 'conflict';
+		return state.isNamed ? storeLedger(state) : [];
+	},
+
+	store(state, {ledger}, reply) {
+		if (reply.status !== 'ok') {
+			return [startCall(state, {purpose: 'readBack'}, {kind: 'read', key: toLedgerKey(state.region, state.ledgerId)})];
+		}
+
+		applyStoredLedger(state, ledger, reply.version ?? 0);
+		return checkSeal(state);
+	},
+
+	readBack(state, _pending, reply) {
+		if (reply.status === 'absent') {
+			state.isNamed = false;
+			applyStoredLedger(state, createUsageLedger(state.ledgerId), 0);
+		}
+
+		const stored = reply.status === 'ok' ? usageLedgerSchema.safeParse(reply.value).data : undefined;
+		if (stored === undefined || reply.status !== 'ok') {
+			return [];
+		}
+
+		applyStoredLedger(state, stored, reply.version ?? 0);
+		return checkSeal(state);
+	},
+
+	checkSeal(state, {window}, reply) {
+		const sources = reply.status === 'ok' ? (reply.value as UsageSeal).sources : [];
+		if (sources.includes(state.ledgerId)) {
+			// Sealed figures have their own place, so the ledger stays within the object API's limit.
+			const frozen = state.ledger.frozen.filter(part => part.window !== window);
+			return [startStore(state, {...state.ledger, frozen})];
+		}
+
+		return [];
+	},
+};
+
+function settleWith(state: EntryUsageState, address: string, metered: readonly MeteredAttempt[]): CallUsage {
+	const settled = state.acknowledgements.get(address) ?? [];
+	const asked = metered.map(({usage}) => usage.sequence);
+	state.acknowledgements.delete(address);
+	return startCall(
+		state,
+		{
+			purpose: 'settle', address, settled, asked,
+		},
+		{kind: 'settle', address, settlement: {ledgerId: state.ledgerId, settled: [...settled], asked}},
+	);
+}
+
+function applyFigures(state: EntryUsageState, {figures}: UsageFigures): void {
+	for (const {sequence, counts} of figures) {
+		const metered = state.attempts.get(sequence);
+		if (metered !== undefined && !metered.isFinal) {
+			metered.usage = {...metered.usage, ...(counts !== undefined && mergeUsageCounts(metered.usage, counts))};
+			metered.isFinal = true;
+		}
+	}
+}
+
+/** A sidecar that is gone answers no more: after some tries the entry's own figures stand. */
+function finalizeUnanswered(state: EntryUsageState, asked: readonly number[]): void {
+	for (const sequence of asked) {
+		const metered = state.attempts.get(sequence);
+		if (metered !== undefined && !metered.isFinal) {
+			metered.askCount += 1;
+			metered.isFinal = state.isStopping || metered.askCount >= ASK_LIMIT;
+		}
+	}
+}
+
+/** Keeps what a sidecar was not told; one that stays away is not told, as its own report is found to be settled. */
+function keepAcknowledgements(state: EntryUsageState, address: string, settled: readonly number[]): void {
+	const isAwaited = [...state.attempts.values()].some(metered => metered.address === address);
+	if (isAwaited && settled.length > 0) {
+		state.acknowledgements.set(address, [...settled, ...(state.acknowledgements.get(address) ?? [])]);
+	}
+}
+
+function storeLedger(state: EntryUsageState): CallUsage[] {
+	const final = [...state.attempts.values()].filter(({isFinal}) => isFinal).map(({usage}) => usage);
+	if (final.length === 0) {
+		return checkSeal(state);
+	}
+
+	if (!state.isNamed) {
+		const key = `${toLedgerNamePrefix(state.region)}${state.ledgerId}`;
+		return [startCall(state, {purpose: 'name'}, {
+			kind: 'write', key, value: {}, version: 0,
+		})];
+	}
+
+	return [startStore(state, settleAttempts(state.ledger, final))];
+}
+
+function startStore(state: EntryUsageState, ledger: UsageLedger): CallUsage {
+	return startCall(state, {purpose: 'store', ledger}, {
+		kind: 'write', key: toLedgerKey(state.region, state.ledgerId), value: ledger, version: state.version,
+	});
+}
+
+/** Takes a ledger as stored: attempts that are in it, by whichever way, are done. */
+function applyStoredLedger(state: EntryUsageState, ledger: UsageLedger, version: number): void {
+	state.ledger = ledger;
+	state.version = version;
+	for (const [sequence, {address}] of state.attempts) {
+		if (isAccounted(ledger, sequence)) {
+			state.attempts.delete(sequence);
+			state.acknowledgements.set(address, [...(state.acknowledgements.get(address) ?? []), sequence]);
+		}
+	}
+}
+
+function checkSeal(state: EntryUsageState): CallUsage[] {
+	const frozen = state.ledger.frozen.find(({rows}) => rows.length > 0);
+	return frozen === undefined
+		? []
+		: [startCall(state, {purpose: 'checkSeal', window: frozen.window}, {kind: 'read', key: toSealKey(state.region, frozen.window)})];
+}
+
+function startCall(state: EntryUsageState, pending: PendingCall, call: UsageCall): CallUsage {
+	state.callCount += 1;
+	const callId = `entry-usage-${state.callCount}`;
+	state.calls.set(callId, pending);
+	return {type: 'usage.call', callId, call};
+}
--- a/packages/shared/src/headers.ts
+++ b/packages/shared/src/headers.ts
@@ -26,6 +26,8 @@
 	errorCode: 'x-damaskspool-error',
 	/** Load report of a target, as JSON, on each answer of its sidecar. */
 	load: 'x-damaskspool-load',
+	/** Usage ledger, sequence number and window of an attempt, as `ledger;sequence;window`. */
+	usage: 'x-damaskspool-usage',
 	/** Identifier of the entry instance that sent an attempt. */
 	entryId: 'x-damaskspool-entry',
 	/** Repeated sends of one call that may not be repeated carry the same value. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -11,3 +11,4 @@
 export * from './outcomes.js';
 export * from './results.js';
 export * from './units.js';
+export * from './usageDocuments.js';
