Meter at entry and sidecar, and seal and report windows under the usage duty

Cause: the decisions on usage were not carried out by any process.

Change: both roles count each answer's bytes with one meter, which takes prompt and cached tokens from the target's own statement and counts generated tokens by the events of a stream. The entry sends a number with each attempt under which both count it. A report is given up when the duty's term ends, also while it waits for a connection. The engine stand-in states usage on the first event of a stream, as engines do; the platform stand-in's intake has faults of its own.

--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -1,6 +1,7 @@
 import {type Failure} from '@damaskspool/shared';
 import {type FleetEffect} from '../fleet/fleetMessages.js';
 import {type LeaseEffect} from '../lease/leaseMessages.js';
+import {type CallUsage} from '../usage/usageCalls.js';
 
 /** Sends one attempt of a request to the sidecar of a target. */
 export type SendAttempt = {
@@ -31,4 +32,6 @@
 };
 
 /** Every effect of an entry. */
-export type EntryEffect = SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision | LeaseEffect | FleetEffect;
+export type EntryEffect
+	= | SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision
+		| LeaseEffect | FleetEffect | CallUsage;
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -1,7 +1,8 @@
 import {
-	type Configuration, type ConfigurationUpdate, type Failure, type InstanceRecord, type LoadReport,
+	type Configuration, type ConfigurationUpdate, type Failure, type InstanceRecord, type LoadReport, type UsageCounts,
 } from '@damaskspool/shared';
 import {type FleetEvent} from '../fleet/fleetMessages.js';
+import {type UsageReply} from '../usage/usageCalls.js';
 import {type LeaseEvent} from '../lease/leaseMessages.js';
 import {type BaseEvent} from './createReducer.js';
 
@@ -70,8 +71,28 @@
 /** The process was told to stop. */
 export type StopRequested = Timed<'stop.requested', Record<never, never>>;
 
+/** An attempt is being sent: its usage is metered under a number of this entry's own. */
+export type UsageStarted = Timed<'usage.started', {
+	readonly sequence: number;
+	readonly customerId: string;
+	readonly serviceId: string;
+	/** Start of the window. */
+	readonly servedIn: number;
+	/** Address of the sidecar. */
+	readonly address: string;
+}>;
+/** A metered attempt ended, whole or not. */
+export type UsageEnded = Timed<'usage.ended', {readonly sequence: number; readonly counts: UsageCounts}>;
+/** Metered usage is to be stored. */
+export type UsageFlushDue = Timed<'usage.flushDue', {readonly isStopping: boolean}>;
+/** Time to look for windows to seal and report. */
+export type UsageSealDue = Timed<'usage.sealDue', {readonly wallMs: number}>;
+/** A call of usage ended. */
+export type UsageReplied = Timed<'usage.replied', {readonly callId: string; readonly reply: UsageReply}>;
+
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
 		| ConfigurationRead | ConfigurationUpdated | InstancesListed | LoadReported | Tick | StopRequested
+		| UsageStarted | UsageEnded | UsageFlushDue | UsageSealDue | UsageReplied
 		| LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -4,6 +4,7 @@
 import {membershipHandlers} from '../membership/membershipHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
 import {routingHandlers} from '../routing/routingHandlers.js';
+import {entryUsageHandlers} from '../usage/entryUsageHandlers.js';
 import {createReducer} from './createReducer.js';
 import {type EntryEffect} from './entryEffects.js';
 import {type EntryEvent} from './entryEvents.js';
@@ -11,5 +12,13 @@
 
 /** Decides everything that an entry does. */
 export const reduceEntry = createReducer<EntryState, EntryEvent, EntryEffect>({
-	tables: [routingHandlers, configurationHandlers, membershipHandlers, requestHandlers, leaseHandlers, fleetHandlers],
+	tables: [
+		routingHandlers,
+		configurationHandlers,
+		membershipHandlers,
+		requestHandlers,
+		leaseHandlers,
+		fleetHandlers,
+		entryUsageHandlers,
+	],
 });
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,3 +1,4 @@
+import {MINUTE_MS} from '@damaskspool/shared';
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
 import {createFleetState, type FleetState} from '../fleet/fleetState.js';
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
@@ -5,8 +6,15 @@
 import {type PlanZone} from '../planning/zonePlan.js';
 import {type RequestRecord} from '../request/requestRecord.js';
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
+import {createEntryUsageState, type EntryUsageState} from '../usage/entryUsage.js';
+import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealer.js';
 import {createRoutingState, type RoutingState} from '../routing/routingState.js';
 
+/** Length of a usage window where the settings do not say. */
+const DEFAULT_USAGE_WINDOW_MS = 15 * MINUTE_MS;
+/** Wait after a usage window's end where the settings do not say: longer than a flush and the longest stream. */
+const DEFAULT_USAGE_GRACE_MS = 3 * MINUTE_MS;
+
 /** The whole state of an entry's decisions. */
 export type EntryState = {
 	readonly instanceId: string;
@@ -18,6 +26,8 @@
 	requests: Map<string, RequestRecord>;
 	lease: LeaseState;
 	fleet: FleetState;
+	usage: EntryUsageState;
+	usageSealer: UsageSealerState;
 };
 
 /** Options of {@link createEntryState}. */
@@ -31,6 +41,10 @@
 	readonly processId?: string;
 	/** Planner of the own zone's next step. */
 	readonly planZone?: PlanZone;
+	/** Length of a usage window. */
+	readonly usageWindow?: number;
+	/** Wait after a usage window's end before it is sealed. */
+	readonly usageGrace?: number;
 };
 
 /**
@@ -41,6 +55,7 @@
  */
 export function createEntryState(options: EntryStateOptions): EntryState {
 	const {instanceId, availabilityZone, region = '', processId = instanceId, planZone} = options;
+	const runId = `${instanceId}~${processId}`;
 	return {
 		instanceId,
 		availabilityZone,
@@ -53,5 +68,13 @@
 			instanceId, processId, availabilityZone, region,
 		}),
 		fleet: createFleetState({availabilityZone, ...(planZone !== undefined && {planZone})}),
+		usage: createEntryUsageState(region, runId),
+		usageSealer: createUsageSealerState({
+			region,
+			instanceId,
+			runId,
+			windowMs: options.usageWindow ?? DEFAULT_USAGE_WINDOW_MS,
+			graceMs: options.usageGrace ?? DEFAULT_USAGE_GRACE_MS,
+		}),
 	};
 }
--- a/packages/core/src/reducer/sidecarEffects.ts
+++ b/packages/core/src/reducer/sidecarEffects.ts
@@ -1,5 +1,6 @@
 import {type Failure} from '@damaskspool/shared';
 import {type OrderEffect} from '../fleet/orderMessages.js';
+import {type CallUsage} from '../usage/usageCalls.js';
 
 /** Hands admitted work to the target. */
 export type StartWork = {readonly type: 'work.start'; readonly attemptId: string};
@@ -16,4 +17,6 @@
 };
 
 /** Every effect of a sidecar. */
-export type SidecarEffect = StartWork | RefuseWork | CancelWork | RecordSidecarDecision | OrderEffect;
+export type SidecarEffect
+	= | StartWork | RefuseWork | CancelWork | RecordSidecarDecision
+		| OrderEffect | CallUsage;
--- a/packages/core/src/reducer/sidecarEvents.ts
+++ b/packages/core/src/reducer/sidecarEvents.ts
@@ -1,6 +1,9 @@
-import {type TargetRole} from '@damaskspool/shared';
+import {
+	type AttemptUsage, type TargetRole, type UsageCounts, type UsageSettlement,
+} from '@damaskspool/shared';
 import {type Work} from '../admission/admissionState.js';
 import {type OrderEvent} from '../fleet/orderMessages.js';
+import {type UsageReply} from '../usage/usageCalls.js';
 import {type BaseEvent} from './createReducer.js';
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
@@ -26,7 +29,23 @@
 /** The process was told to stop. */
 export type SidecarStopRequested = Timed<'stop.requested', Record<never, never>>;
 
+/** Metered work was handed to the target. */
+export type SidecarUsageStarted = Timed<'usage.started', Omit<AttemptUsage, keyof UsageCounts>>;
+/** The target's part in metered work ended. */
+export type SidecarUsageEnded = Timed<'usage.ended', {
+	readonly ledgerId: string;
+	readonly sequence: number;
+	readonly counts: UsageCounts;
+}>;
+/** An entry told what it stored. */
+export type SidecarUsageSettled = Timed<'usage.settled', {readonly settlement: UsageSettlement}>;
+/** Usage that no entry stored is to be stored from here. */
+export type SidecarUsageFlushDue = Timed<'usage.flushDue', {readonly isStopping: boolean}>;
+/** A call of usage ended. */
+export type SidecarUsageReplied = Timed<'usage.replied', {readonly callId: string; readonly reply: UsageReply}>;
+
 /** Every event of a sidecar. */
 export type SidecarEvent
 	= | WorkReceived | WorkAnswered | WorkEnded | WorkCancelled | TargetReported | TargetSilent
-		| SidecarTick | SidecarStopRequested | OrderEvent;
+		| SidecarTick | SidecarStopRequested | OrderEvent
+		| SidecarUsageStarted | SidecarUsageEnded | SidecarUsageSettled | SidecarUsageFlushDue | SidecarUsageReplied;
--- a/packages/core/src/reducer/sidecarState.ts
+++ b/packages/core/src/reducer/sidecarState.ts
@@ -1,5 +1,10 @@
+import {MINUTE_MS} from '@damaskspool/shared';
 import {createOrderState, type OrderState} from '../fleet/orderState.js';
 import {type AdmissionState, type Capacity} from '../admission/admissionState.js';
+import {createSidecarUsageState, type SidecarUsageState} from '../usage/sidecarUsage.js';
+
+/** Several flushes of an entry. */
+const DEFAULT_ORPHAN_AFTER_MS = 5 * MINUTE_MS;
 
 /** The whole state of a sidecar's decisions. */
 export type SidecarState = {
@@ -7,6 +12,7 @@
 	isStopping: boolean;
 	admission: AdmissionState;
 	orders: OrderState;
+	usage: SidecarUsageState;
 };
 
 /** Options of {@link createSidecarState}. */
@@ -15,6 +21,9 @@
 	readonly capacity: Capacity;
 	/** Differs in each process that ever runs beside this target. */
 	readonly processId?: string;
+	readonly region?: string;
+	/** Wait for an entry to store the usage of an attempt before the sidecar does. */
+	readonly usageOrphanAfterMs?: number;
 };
 
 /**
@@ -24,6 +33,7 @@
  * @returns the state
  */
 export function createSidecarState(options: SidecarStateOptions): SidecarState {
+	const {instanceId, region = '', processId = instanceId, usageOrphanAfterMs = DEFAULT_ORPHAN_AFTER_MS} = options;
 	return {
 		instanceId: options.instanceId,
 		isStopping: false,
@@ -42,5 +52,6 @@
 			generatedTokensTotal: 0,
 			reportedAtMs: 0,
 		},
+		usage: createSidecarUsageState({region, runId: `${instanceId}~${processId}`, orphanAfterMs: usageOrphanAfterMs}),
 	};
 }
--- a/packages/core/src/usage/entryUsage.ts
+++ b/packages/core/src/usage/entryUsage.ts
@@ -203,7 +203,11 @@
 	for (const {sequence, counts} of figures) {
 		const metered = state.attempts.get(sequence);
 		if (metered !== undefined && !metered.isFinal) {
-			metered.usage = {...metered.usage, ...(counts !== undefined && mergeUsageCounts(metered.usage, counts))};
+			if (counts !== undefined) {
+				// The sidecar's time leaves out what passed on the way and in its queue.
+				metered.usage = {...metered.usage, ...mergeUsageCounts(metered.usage, counts), targetMs: counts.targetMs};
+			}
+
 			metered.isFinal = true;
 		}
 	}
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -21,6 +21,7 @@
 import {createInstancesPart} from './createInstancesPart.js';
 import {createLoadPart} from './createLoadPart.js';
 import {createRequestPart} from './createRequestPart.js';
+import {createUsagePart} from './createUsagePart.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 
 /** Options of {@link createEntry}. */
@@ -69,7 +70,8 @@
 		readClock: () => loop.readClock(),
 	};
 
-	const requestPart = createRequestPart(context);
+	const usagePart = createUsagePart(context);
+	const requestPart = createRequestPart(context, usagePart);
 	const decisionPart = createDecisionPart(context);
 	const configurationPart = createConfigurationPart(context);
 	const leasePart = createLeasePart(context);
@@ -80,6 +82,7 @@
 		leasePart,
 		configurationPart,
 		fleetPart,
+		usagePart,
 		createInstancesPart(context),
 		createLoadPart(context),
 		createOperatorPart(context),
@@ -88,7 +91,11 @@
 		state: createEntryState({...settings, processId: randomUUID()}),
 		reduce: reduceEntry,
 		effectHandlers: {
-			...requestPart.effectHandlers, ...decisionPart.effectHandlers, ...leasePart.effectHandlers, ...fleetPart.effectHandlers,
+			...requestPart.effectHandlers,
+			...decisionPart.effectHandlers,
+			...leasePart.effectHandlers,
+			...fleetPart.effectHandlers,
+			...usagePart.effectHandlers,
 		},
 	});
 
--- a/packages/daemon/src/entry/createRequestPart.ts
+++ b/packages/daemon/src/entry/createRequestPart.ts
@@ -2,6 +2,7 @@
 import {type SendAttempt} from '@damaskspool/core';
 import {Agent} from 'undici';
 import {type CallerAnswer, createCallerAnswer, refuseUnread} from './callerAnswer.js';
+import {type UsagePart} from './createUsagePart.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 import {type CallerRequest, readCallerRequest} from './readCallerRequest.js';
 import {sendAttempt, type StreamProgress} from './sendAttempt.js';
@@ -31,9 +32,10 @@
  * Creates the part of an entry that reads callers' requests, sends attempts and writes answers.
  *
  * @param context - what the entry shares among its parts
+ * @param usage - the part that meters attempts
  * @returns the part
  */
-export function createRequestPart(context: EntryContext): RequestPart {
+export function createRequestPart(context: EntryContext, usage: Pick<UsagePart, 'startMetering'>): RequestPart {
 	const {settings, logger, metrics, dispatch, readClock} = context;
 	const open = new Map<string, OpenRequest>();
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SIDECAR, connect: {timeout: CONNECT_TIMEOUT_MS}});
@@ -57,12 +59,19 @@
 		const {requestId, attemptId} = effect;
 		const abort = new AbortController();
 		found.attempt = abort;
+		const {meter, header, end: endMetering} = usage.startMetering(
+			effect,
+			found.request.facts.promptTokens,
+			found.progress.lastEventId !== undefined,
+		);
 		const end = await sendAttempt({
 			effect,
 			entryId: settings.instanceId,
 			request: found.request,
 			answer: found.answer,
 			progress: found.progress,
+			meter,
+			usageHeader: header,
 			dispatcher,
 			signal: abort.signal,
 			onAnswered(load) {
@@ -72,6 +81,7 @@
 				});
 			},
 		});
+		endMetering();
 		if (end.type === 'finished') {
 			dispatch({
 				type: 'attempt.finished', requestId, attemptId, generatedTokens: end.generatedTokens,
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -7,6 +7,7 @@
 	loadReportSchema, MEBIBYTE_BYTES, type Outcome, OUTCOMES,
 } from '@damaskspool/shared';
 import {type Dispatcher} from 'undici';
+import {type UsageMeter} from '../usageMeter.js';
 import {type CallerAnswer} from './callerAnswer.js';
 import {type CallerRequest} from './readCallerRequest.js';
 
@@ -35,6 +36,9 @@
 	readonly request: CallerRequest;
 	readonly answer: CallerAnswer;
 	readonly progress: StreamProgress;
+	readonly meter: UsageMeter;
+	/** Number under which both sides meter the attempt. */
+	readonly usageHeader: string;
 	readonly dispatcher: Dispatcher;
 	readonly signal: AbortSignal;
 	readonly onAnswered: (load: LoadReport | undefined) => void;
@@ -74,13 +78,14 @@
 	return end;
 }
 
-function createAttemptHeaders({effect, entryId, request, progress}: SendAttemptOptions): Record<string, string> {
+function createAttemptHeaders({effect, entryId, request, progress, usageHeader}: SendAttemptOptions): Record<string, string> {
 	const {facts} = request;
 	return {
 		...request.headers,
 		[HEADERS.requestId]: effect.requestId,
 		[HEADERS.attemptId]: effect.attemptId,
 		[HEADERS.entryId]: entryId,
+		[HEADERS.usage]: usageHeader,
 		[HEADERS.customerId]: effect.customerId,
 		[HEADERS.serviceId]: effect.serviceId,
 		[HEADERS.priority]: facts.priority,
@@ -94,7 +99,9 @@
 }
 
 async function passAnswerOn(options: SendAttemptOptions, response: Dispatcher.ResponseData): Promise<AttemptEnd> {
-	const {effect, onAnswered, answer} = options;
+	const {
+		effect, onAnswered, answer, meter,
+	} = options;
 	const {headers, statusCode, body} = response;
 	const load = parseLoad(headers[HEADERS.load]);
 	if (headers[HEADERS.requestId] !== effect.requestId) {
@@ -110,7 +117,9 @@
 
 	onAnswered(load);
 	const contentType = String(headers['content-type'] ?? 'application/octet-stream');
-	if (contentType.startsWith('text/event-stream')) {
+	const isStream = contentType.startsWith('text/event-stream');
+	meter.begin(isStream);
+	if (isStream) {
 		return passStreamOn(options, body);
 	}
 
@@ -119,13 +128,15 @@
 		return createFailedEnd(ERROR_CODES.answerMalformed, {load, detail: whole.val.message});
 	}
 
+	meter.add(whole.val);
 	answer.holdWhole(statusCode, contentType, whole.val);
 	return {type: 'finished', generatedTokens: parseGeneratedTokens(whole.val)};
 }
 
-async function passStreamOn({answer, progress}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
+async function passStreamOn({answer, progress, meter}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
 	try {
 		for await (const event of splitServerSentEvents(body)) {
+			meter.add(event.bytes);
 			await answer.sendEvent(event.bytes);
 			if (event.data === STREAM_END) {
 				return {type: 'finished', generatedTokens: progress.generatedTokens};
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -2,7 +2,7 @@
 import {
 	addressSchema, durationSchema, LOG_LEVELS, sizeSchema,
 } from '@damaskspool/runtime';
-import {MEBIBYTE_BYTES, SECOND_MS} from '@damaskspool/shared';
+import {MEBIBYTE_BYTES, MINUTE_MS, SECOND_MS} from '@damaskspool/shared';
 import {z} from 'zod';
 
 const commonSettings = {
@@ -26,6 +26,12 @@
 	control: addressSchema,
 	/** Largest body that is read at all; routes set lower limits. */
 	bodyLimit: sizeSchema.default(16 * MEBIBYTE_BYTES),
+	/** Span of time for which usage is reported once. */
+	usageWindow: durationSchema.default(15 * MINUTE_MS),
+	/** Wait after a window's end for usage that is still on its way. */
+	usageGrace: durationSchema.default(3 * MINUTE_MS),
+	/** Time between writes of metered usage: what is lost where an entry and a sidecar are lost together. */
+	usageFlushInterval: durationSchema.default(MINUTE_MS),
 	/** Time between reads of configuration and instance list. */
 	pollInterval: durationSchema.default(SECOND_MS),
 	/** How targets are chosen; others than the default are there for experiments. */
@@ -47,6 +53,8 @@
 	pieces: z.number().int().nonnegative().default(0),
 	/** Requests that wait at most. */
 	queueLimit: z.number().int().nonnegative().default(64),
+	/** Wait for an entry to store the usage of an attempt before the sidecar does. */
+	usageOrphanAfter: durationSchema.default(5 * MINUTE_MS),
 	/** Time between reads of the target's own report. */
 	reportInterval: durationSchema.default(250),
 });
--- a/packages/daemon/src/sidecar/createSidecar.ts
+++ b/packages/daemon/src/sidecar/createSidecar.ts
@@ -14,6 +14,7 @@
 import {createOrderPart} from './createOrderPart.js';
 import {createReportPart} from './createReportPart.js';
 import {createSidecarDecisionPart} from './createSidecarDecisionPart.js';
+import {createSidecarUsagePart} from './createSidecarUsagePart.js';
 import {createWorkPart} from './createWorkPart.js';
 import {type SidecarContext, type SidecarPart} from './sidecarPart.js';
 
@@ -63,18 +64,26 @@
 		readClock: () => loop.readClock(),
 	};
 
-	const workPart = createWorkPart(context);
+	const usagePart = createSidecarUsagePart(context);
+	const workPart = createWorkPart(context, usagePart);
 	const decisionPart = createSidecarDecisionPart(context);
 	const orderPart = createOrderPart(context);
-	const parts: readonly SidecarPart[] = [workPart, decisionPart, orderPart, createReportPart(context)];
+	const parts: readonly SidecarPart[] = [workPart, decisionPart, orderPart, createReportPart(context), usagePart];
 	const loop = createLoop<SidecarState, SidecarEvent, SidecarEffect>({
 		state: createSidecarState({
 			instanceId: settings.instanceId,
+			region: settings.region,
 			processId: randomUUID(),
+			usageOrphanAfterMs: settings.usageOrphanAfter,
 			capacity: {concurrency: settings.concurrency, pieces: settings.pieces, queueLimit: settings.queueLimit},
 		}),
 		reduce: reduceSidecar,
-		effectHandlers: {...workPart.effectHandlers, ...decisionPart.effectHandlers, ...orderPart.effectHandlers},
+		effectHandlers: {
+			...workPart.effectHandlers,
+			...decisionPart.effectHandlers,
+			...orderPart.effectHandlers,
+			...usagePart.effectHandlers,
+		},
 	});
 
 	const answerOperations = createOperationsHandler({
--- a/packages/daemon/src/sidecar/createWorkPart.ts
+++ b/packages/daemon/src/sidecar/createWorkPart.ts
@@ -3,6 +3,7 @@
 import {
 	createFailure, ERROR_CODES, type Failure, HEADERS, OUTCOMES,
 } from '@damaskspool/shared';
+import {type SidecarUsagePart} from './createSidecarUsagePart.js';
 import {parseWork} from './parseWork.js';
 import {runOnTarget} from './runOnTarget.js';
 import {type SidecarContext, type SidecarPart} from './sidecarPart.js';
@@ -26,9 +27,10 @@
  * Creates the part of a sidecar that takes work and hands it to the target.
  *
  * @param context - what the sidecar shares among its parts
+ * @param usage - the part that meters work
  * @returns the part
  */
-export function createWorkPart(context: SidecarContext): WorkPart {
+export function createWorkPart(context: SidecarContext, usage: Pick<SidecarUsagePart, 'startMetering'>): WorkPart {
 	const {settings, metrics, targetDispatcher, dispatch, readState, readClock} = context;
 	const open = new Map<string, OpenWork>();
 	const readLoadHeader = () => JSON.stringify(toLoadReport(readState().admission, readClock()));
@@ -39,8 +41,10 @@
 			return;
 		}
 
+		const {meter, end: endMetering} = usage.startMetering(found.work, found.incoming.headers);
 		const generatedTokens = await runOnTarget({
 			...found,
+			meter,
 			targetAddress: settings.target,
 			dispatcher: targetDispatcher,
 			readLoadHeader,
@@ -48,6 +52,7 @@
 				dispatch({type: 'work.answered', attemptId});
 			},
 		});
+		endMetering();
 		open.delete(attemptId);
 		metrics.count('work_ended_total');
 		metrics.count('generated_tokens_total', generatedTokens);
--- a/packages/daemon/src/sidecar/runOnTarget.ts
+++ b/packages/daemon/src/sidecar/runOnTarget.ts
@@ -6,6 +6,7 @@
 	ERROR_CODES, type ErrorCode, HEADERS, OUTCOMES,
 } from '@damaskspool/shared';
 import {type Dispatcher} from 'undici';
+import {type UsageMeter} from '../usageMeter.js';
 
 /** Headers of an attempt that the target is given. */
 const TARGET_HEADERS = [
@@ -29,6 +30,7 @@
 	readonly incoming: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly abort: AbortController;
+	readonly meter: UsageMeter;
 	readonly targetAddress: string;
 	readonly dispatcher: Dispatcher;
 	/** Writes the load report as the header of the answer. */
@@ -44,7 +46,7 @@
  */
 export async function runOnTarget(options: RunOnTargetOptions): Promise<number> {
 	const {
-		work, incoming, response, abort, targetAddress, dispatcher, readLoadHeader, onAnswered,
+		work, incoming, response, abort, meter, targetAddress, dispatcher, readLoadHeader, onAnswered,
 	} = options;
 	let answer: Dispatcher.ResponseData;
 	try {
@@ -71,6 +73,7 @@
 		return 0;
 	}
 
+	meter.begin(String(answer.headers['content-type']).startsWith('text/event-stream'));
 	onAnswered();
 	const length = answer.headers['content-length'];
 	response.writeHead(answer.statusCode, {
@@ -82,6 +85,7 @@
 	let generatedTokens = 0;
 	try {
 		for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+			meter.add(chunk);
 			generatedTokens += countEvents(chunk);
 			if (!response.write(chunk)) {
 				await Promise.race([once(response, 'drain'), once(response, 'close')]);
--- a/packages/runtime/src/createObjectApiClient.ts
+++ b/packages/runtime/src/createObjectApiClient.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+import {Readable} from 'node:stream';
 import {Pool} from 'undici';
 import {
 	createFailure, Err, ERROR_CODES, type Failure, Ok, type Result,
@@ -28,10 +30,17 @@
 	/** Waits for changes under a prefix after a version; an empty reply when none came in time. */
 	readonly watch: (prefix: string, afterVersion: number) => Promise<Result<WatchReply, Failure>>;
 	/** Any other call of the platform: instance list, start and stop, usage intake, weight store. */
-	readonly call: (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown) => Promise<Result<unknown, Failure>>;
+	readonly call: (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown, options?: PlatformCallOptions) => Promise<Result<unknown, Failure>>;
 	readonly close: () => Promise<void>;
 };
 
+/** Options of a call of the platform. */
+export type PlatformCallOptions = {
+	readonly timeoutMs?: number;
+	/** Asked once more when the body is about to leave, after any wait for a connection. */
+	readonly isAllowed?: () => boolean;
+};
+
 /** Options of {@link createObjectApiClient}. */
 export type ObjectApiClientOptions = {
 	/** `ip:port` of the platform. */
@@ -49,6 +58,7 @@
 	readonly headers?: Record<string, string>;
 	readonly body?: unknown;
 	readonly timeoutMs?: number;
+	readonly isAllowed?: (() => boolean) | undefined;
 };
 
 /**
@@ -68,7 +78,7 @@
 				method: call.method,
 				path: call.path,
 				headers: {'content-type': 'application/json', ...call.headers},
-				body: text,
+				body: text === null || call.isAllowed === undefined ? text : createGuardedBody(text, call.isAllowed),
 				signal: AbortSignal.timeout(call.timeoutMs ?? callTimeoutMs),
 			});
 			const reply = await response.body.text();
@@ -122,9 +132,9 @@
 			});
 			return reply.map(({body}) => body as WatchReply);
 		},
-		async call(method, path, body) {
+		async call(method, path, body, {timeoutMs = callTimeoutMs, isAllowed} = {}) {
 			const reply = await send({
-				kind: path.split('/')[1] ?? path, method, path, body,
+				kind: path.split('/')[1] ?? path, method, path, body, timeoutMs, isAllowed,
 			});
 			if (reply.err || reply.val.status < 400) {
 				return reply.map(value => value.body);
@@ -136,3 +146,14 @@
 		close: async () => pool.destroy(),
 	};
 }
+
+/** Gives a body only while the call may be made; else the platform gets half a request, which it does not take in. */
+function createGuardedBody(text: string, isAllowed: () => boolean): Readable {
+	return Readable.from((function * () {
+		if (!isAllowed()) {
+			throw new Error('the authority for the call has ended');
+		}
+
+		yield Buffer.from(text);
+	})());
+}
--- a/packages/stand-ins/src/engine/createBatch.ts
+++ b/packages/stand-ins/src/engine/createBatch.ts
@@ -66,6 +66,7 @@
 			// The last prompt token is always worked through, since the first token of the answer comes from it.
 			const spared = Math.min(readyTokens, next.promptTokens - 1);
 			next.prefillLeft = next.promptTokens - spared;
+			next.cachedTokens = spared;
 			counts.cachedTokens += spared;
 			running.add(next);
 		}
--- a/packages/stand-ins/src/engine/engineSequence.ts
+++ b/packages/stand-ins/src/engine/engineSequence.ts
@@ -20,6 +20,8 @@
 	readonly model: string;
 	readonly response: ServerResponse;
 	prefillLeft: number;
+	/** Prompt tokens that the prefix cache spared. */
+	cachedTokens: number;
 	nextIndex: number;
 	text: string;
 };
@@ -57,6 +59,7 @@
 		model: body.model,
 		response,
 		prefillLeft: promptTokens,
+		cachedTokens: 0,
 		nextIndex: typeof lastEventId === 'string' ? Number(lastEventId) + 1 : 0,
 		text: '',
 	};
@@ -70,13 +73,16 @@
  */
 export function writeToken(sequence: EngineSequence): boolean {
 	const {response, requestId, model} = sequence;
+	const isFirst = !response.headersSent;
 	const content = computeToken(sequence.promptDigest, sequence.nextIndex);
 	if (sequence.isStream) {
 		if (!response.headersSent) {
 			response.writeHead(200, {'content-type': 'text/event-stream', [HEADERS.requestId]: requestId});
 		}
 
-		const chunk = JSON.stringify({id: requestId, model, choices: [{index: 0, delta: {content}}]});
+		const chunk = JSON.stringify({
+			id: requestId, model, choices: [{index: 0, delta: {content}}], ...(isFirst && {usage: createUsage(sequence, 1)}),
+		});
 		response.write(`id: ${sequence.nextIndex}\ndata: ${chunk}\n\n`);
 	}
 
@@ -90,7 +96,10 @@
 	return false;
 }
 
-function endAnswer({response, isStream, requestId, model, text, promptTokens, maxTokens}: EngineSequence): void {
+function endAnswer(sequence: EngineSequence): void {
+	const {
+		response, isStream, requestId, model, text, maxTokens,
+	} = sequence;
 	if (isStream) {
 		response.end('data: [DONE]\n\n');
 		return;
@@ -100,6 +109,15 @@
 		id: requestId,
 		model,
 		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: 'stop'}],
-		usage: {prompt_tokens: promptTokens, completion_tokens: maxTokens},
+		usage: createUsage(sequence, maxTokens),
 	}, {[HEADERS.requestId]: requestId});
 }
+
+/** States usage as engines do: on the first event of a stream, or in a whole answer. */
+function createUsage({promptTokens, cachedTokens}: EngineSequence, generatedTokens: number) {
+	return {
+		prompt_tokens: promptTokens,
+		completion_tokens: generatedTokens,
+		prompt_tokens_details: {cached_tokens: cachedTokens},
+	};
+}
--- a/packages/stand-ins/src/plain-service/createPlainService.ts
+++ b/packages/stand-ins/src/plain-service/createPlainService.ts
@@ -14,6 +14,8 @@
 export type PlainServiceStats = {
 	/** Times that a call of method POST ran, by the `reference` in its body. */
 	readonly runsByReference: ReadonlyMap<string, number>;
+	/** Calls of any method that ran. */
+	readonly calls: number;
 	readonly keysSeen: number;
 };
 
@@ -31,6 +33,7 @@
 	const {port, callMs = 5, keyMarker = 'dmsk_'} = options;
 	const runsByReference = new Map<string, number>();
 	let keysSeen = 0;
+	let calls = 0;
 
 	const server = await serveJson((request, response) => {
 		if (request.everything.includes(keyMarker)) {
@@ -42,6 +45,7 @@
 			return;
 		}
 
+		calls += 1;
 		const requestId = String(request.headers[HEADERS.requestId] ?? '');
 		const reference = request.method === 'POST'
 			? String((JSON.parse(request.body) as {reference?: string}).reference)
@@ -54,5 +58,5 @@
 			sendJson(response, 200, {reference, done: true}, {[HEADERS.requestId]: requestId});
 		}, callMs);
 	}, port);
-	return {...server, readStats: () => ({runsByReference, keysSeen})};
+	return {...server, readStats: () => ({runsByReference, calls, keysSeen})};
 }
--- a/packages/stand-ins/src/platform/createPlatform.ts
+++ b/packages/stand-ins/src/platform/createPlatform.ts
@@ -1,5 +1,5 @@
 import {type ServerResponse} from 'node:http';
-import {type InstanceRecord} from '@damaskspool/shared';
+import {type InstanceRecord, type UsageRow} from '@damaskspool/shared';
 import {
 	sendJson, serveJson, type StandIn, type StandInRequest,
 } from '../serveJson.js';
@@ -24,9 +24,13 @@
 
 /** One usage report that was taken in. */
 export type UsageReport = {
-	readonly window: string;
-	readonly body: unknown;
+	/** Names the part of a window that the report carries. */
+	readonly reportId: string;
+	readonly rows: readonly UsageRow[];
 	readonly reportedBy: string;
+	readonly epoch: number;
+	/** On the platform's own clock. */
+	readonly receivedAtMs: number;
 };
 
 /** Options of {@link createPlatform}. */
@@ -44,6 +48,8 @@
 export type Platform = StandIn & {
 	readonly store: ObjectStore;
 	readonly setFault: (fault: PlatformFault) => void;
+	/** Faults of the usage intake alone. */
+	readonly setUsageFault: (fault: PlatformFault) => void;
 	/** Puts an instance on the list, or changes it, after the lag. */
 	readonly setInstance: (instance: InstanceRecord) => void;
 	readonly removeInstance: (instanceId: string) => void;
@@ -69,6 +75,7 @@
 	const usageReports: UsageReport[] = [];
 	const orderReplies = new Map<string, string>();
 	let fault: PlatformFault = {kind: 'none'};
+	let usageFault: PlatformFault = {kind: 'none'};
 	let nextLoadAtMs = 0;
 
 	const afterLag = (change: () => void) => {
@@ -153,7 +160,7 @@
 			kind: 'usage',
 			matches: request => request.method === 'POST' && request.path === '/usage',
 			answer(request, response) {
-				usageReports.push(JSON.parse(request.body) as UsageReport);
+				usageReports.push({...JSON.parse(request.body) as Omit<UsageReport, 'receivedAtMs'>, receivedAtMs: performance.now()});
 				sendJson(response, 200, {});
 			},
 		},
@@ -180,19 +187,20 @@
 		}
 
 		calls.set(route.kind, (calls.get(route.kind) ?? 0) + 1);
-		if (fault.kind === 'down') {
+		const active = route.kind === 'usage' && usageFault.kind !== 'none' ? usageFault : fault;
+		if (active.kind === 'down') {
 			response.destroy();
 			return;
 		}
 
-		if (fault.kind === 'slow') {
-			const {delayMs} = fault;
+		if (active.kind === 'slow') {
+			const {delayMs} = active;
 			await new Promise(resolve => {
 				setTimeout(resolve, delayMs);
 			});
 		}
 
-		if (fault.kind === 'replyLost') {
+		if (active.kind === 'replyLost') {
 			response.end = function () {
 				response.destroy();
 				return response;
@@ -210,6 +218,9 @@
 		setFault(next) {
 			fault = next;
 		},
+		setUsageFault(next) {
+			usageFault = next;
+		},
 		setInstance(instance) {
 			afterLag(() => {
 				instances.set(instance.instanceId, instance);
