Spread the configuration by a tree of entries, and refuse keys that cannot be confirmed

Cause: every entry read the store each second, 860 reads a second at full size, and an entry that was cut off from it took withdrawn keys for ever.

Change: two entries of a zone watch the store for half a second at a time; the others ask their parent in a tree of fan-out eight, and changes are also passed down it at once. What an entry knows is confirmed with an age that each hop adds to, measured from when it asked; passed messages confirm nothing, so that a delayed one cannot. Keys are taken for 4 s after a confirmation. Cut off from the store an entry catches up from peers; cut off from all it refuses with keys_stale; where a relay of every zone says that the store is silent, serving goes on. configuration.status names the entries that lack a revision.

--- a/packages/bench/src/__tests__/proposeChange.test.ts
+++ b/packages/bench/src/__tests__/proposeChange.test.ts
@@ -22,8 +22,8 @@
 	writeFirstConfiguration(platform, createDocument());
 	const proxy = await createFaultProxy(platform.address);
 	const clients = Array.from({length: OPERATORS}, () => createObjectApiClient({address: proxy.address, callTimeoutMs: 300}));
-	const onAccepted = () => undefined;
-	const stores = clients.map(objectApi => createConfigurationStore({objectApi, readCopy: createConfigurationCopy, onAccepted}));
+	const onUpdate = () => undefined;
+	const stores = clients.map(objectApi => createConfigurationStore({objectApi, readCopy: createConfigurationCopy, onUpdate}));
 	return {
 		platform,
 		proxy,
--- /dev/null
+++ b/packages/core/src/configuration/__tests__/spread.test.ts
@@ -0,0 +1,350 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type ConfigurationAnswer, type InstanceRecord} from '@damaskspool/shared';
+import fc from 'fast-check';
+import {isKeySetSure, KEYS_FRESH_MS} from '../../keys/keyFreshness.js';
+import {type EntryEffect} from '../../reducer/entryEffects.js';
+import {type EntryEvent} from '../../reducer/entryEvents.js';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createEntryState, type EntryState} from '../../reducer/entryState.js';
+import {createUpdate} from '../configurationCopy.js';
+import {findChildren, isRelay, listSources} from '../relayTree.js';
+import {hasPeers} from '../spreadHandlers.js';
+
+const SEED = 20_261_204;
+const TICK_MS = 100;
+/** Longest call of the simulated network. */
+const CALL_TIMEOUT_MS = 800;
+/** The promise on withdrawn keys. */
+const WITHDRAWN_LIMIT_MS = 5000;
+
+type Simulated = {
+	readonly state: EntryState;
+	readonly record: InstanceRecord;
+	hasStore: boolean;
+	isReachable: boolean;
+	isPaused: boolean;
+};
+
+/** Entries that share a store and a network whose faults are switched. Replies and passed updates come late or never. */
+class Fleet {
+	readonly entries: Simulated[];
+	nowMs = 0;
+	/** Revision of the store, and when each revision was accepted. */
+	readonly acceptedAtMs = [0, 0];
+	isStoreUp = true;
+	private readonly pending: Array<{atMs: number; run: () => void}> = [];
+
+	constructor(zones: readonly string[], private readonly delays: () => number) {
+		const instances = zones.map((availabilityZone, index): InstanceRecord => ({
+			instanceId: `entry-${index}`, kind: 'entry', availabilityZone, region: 'r', address: `entry-${index}`, state: 'live', serviceId: '', incarnation: 1,
+		}));
+		this.entries = instances.map(record => ({
+			state: createEntryState({instanceId: record.instanceId, availabilityZone: record.availabilityZone, processId: record.instanceId}),
+			record,
+			hasStore: true,
+			isReachable: true,
+			isPaused: false,
+		}));
+		for (const entry of this.entries) {
+			this.dispatch(entry, {type: 'instances.listed', nowMs: 0, instances});
+		}
+	}
+
+	get revision(): number {
+		return this.acceptedAtMs.length - 1;
+	}
+
+	/** Accepts a change; it takes an entry that reaches the store, which has the change at once. */
+	accept(proposer: Simulated): void {
+		if (!this.isStoreUp || !proposer.hasStore || proposer.isPaused) {
+			return;
+		}
+
+		const {nowMs} = this;
+		const {revision: held} = proposer.state.configuration.copy;
+		const fromRevision = this.revision;
+		this.acceptedAtMs.push(nowMs);
+		this.dispatch(proposer, {
+			type: 'configuration.updated', nowMs, source: 'store', update: {fromRevision: held, revision: fromRevision, parts: []},
+		});
+		this.dispatch(proposer, {
+			type: 'configuration.updated', nowMs, source: 'proposal', update: {fromRevision, revision: fromRevision + 1, parts: []},
+		});
+	}
+
+	/** Advances all clocks; what was due at a paused entry reaches it when it goes on. */
+	advance(durationMs: number): void {
+		for (const endMs = this.nowMs + durationMs; this.nowMs < endMs;) {
+			this.nowMs += TICK_MS;
+			const due = this.pending.filter(({atMs}) => atMs <= this.nowMs);
+			this.pending.splice(0, this.pending.length, ...this.pending.filter(({atMs}) => atMs > this.nowMs));
+			for (const {run} of due) {
+				run();
+			}
+
+			for (const entry of this.entries) {
+				this.dispatch(entry, {type: 'tick', nowMs: this.nowMs});
+			}
+		}
+	}
+
+	isSure({state}: Simulated): boolean {
+		return isKeySetSure({...state.configuration, hasPeers: hasPeers(state)}, this.nowMs);
+	}
+
+	private dispatch(entry: Simulated, event: EntryEvent): void {
+		if (entry.isPaused) {
+			this.pending.push({
+				atMs: this.nowMs + TICK_MS,
+				run: () => {
+					this.dispatch(entry, {...event, nowMs: this.nowMs});
+				},
+			});
+			return;
+		}
+
+		for (const effect of reduceEntry(entry.state, event)) {
+			this.carryOut(entry, effect);
+		}
+	}
+
+	private carryOut(entry: Simulated, effect: EntryEffect): void {
+		const find = (address: string) => this.entries.find(({record}) => record.address === address)!;
+		if (effect.type === 'configuration.watchStore') {
+			this.callStore(entry);
+		}
+
+		if (effect.type === 'configuration.askPeer') {
+			this.callPeer(entry, find(effect.address));
+		}
+
+		if (effect.type === 'configuration.pass') {
+			for (const peer of effect.addresses.map(address => find(address))) {
+				this.after(entry, peer, () => {
+					this.dispatch(peer, {
+						type: 'configuration.updated', nowMs: this.nowMs, update: effect.update, source: 'peer',
+					});
+				});
+			}
+		}
+	}
+
+	private callStore(entry: Simulated): void {
+		const sentAtMs = this.nowMs;
+		const delayMs = this.delays();
+		const isAnswered = this.isStoreUp && entry.hasStore && delayMs <= CALL_TIMEOUT_MS;
+		const {revision} = this;
+		this.pending.push({
+			atMs: sentAtMs + Math.min(delayMs, CALL_TIMEOUT_MS),
+			run: () => {
+				const elapsed = () => ({nowMs: this.nowMs, elapsedMs: this.nowMs - sentAtMs});
+				if (!isAnswered) {
+					this.dispatch(entry, {type: 'configuration.storeSilent', ...elapsed()});
+					return;
+				}
+
+				this.dispatch(entry, {
+					type: 'configuration.updated', nowMs: this.nowMs, source: 'store', update: {fromRevision: entry.state.configuration.copy.revision, revision, parts: []},
+				});
+				this.dispatch(entry, {type: 'configuration.storeConfirmed', revision, ...elapsed()});
+			},
+		});
+	}
+
+	private callPeer(entry: Simulated, peer: Simulated): void {
+		const sentAtMs = this.nowMs;
+		this.after(entry, peer, () => {
+			if (peer.isPaused) {
+				return;
+			}
+
+			const asked = entry.state.configuration.copy.revision;
+			const answer = this.createAnswer(peer, asked);
+			if (asked > peer.state.configuration.copy.revision) {
+				this.dispatch(peer, {type: 'configuration.peerAhead', nowMs: this.nowMs, peerId: entry.record.instanceId});
+			}
+
+			this.after(peer, entry, () => {
+				if (answer.update !== undefined) {
+					this.dispatch(entry, {
+						type: 'configuration.updated', nowMs: this.nowMs, update: answer.update, source: 'peer',
+					});
+				}
+
+				this.dispatch(entry, {
+					type: 'configuration.peerAnswered', nowMs: this.nowMs, elapsedMs: this.nowMs - sentAtMs, peerId: peer.record.instanceId, answer,
+				});
+			});
+		});
+	}
+
+	private createAnswer({state}: Simulated, asked: number): ConfigurationAnswer {
+		const {copy, confirmedAtMs} = state.configuration;
+		const update = createUpdate(copy, asked);
+		return {
+			instanceId: state.instanceId,
+			revision: copy.revision,
+			...(Number.isFinite(confirmedAtMs) && {confirmedAgeMs: this.nowMs - confirmedAtMs}),
+			...(state.spread.storeSilentSinceMs !== undefined && {storeSilentAgeMs: this.nowMs - state.spread.storeSilentSinceMs}),
+			...(update !== undefined && {update}),
+		};
+	}
+
+	private after(from: Simulated, to: Simulated, run: () => void): void {
+		if (from.isReachable && to.isReachable) {
+			this.pending.push({atMs: this.nowMs + this.delays(), run});
+		}
+	}
+}
+
+const faults = fc.record({
+	entry: fc.nat(5),
+	kind: fc.constantFrom('store', 'peers', 'all', 'pause', 'storeDown', 'accept', 'heal'),
+	durationMs: fc.integer({min: 1, max: 60}).map(tenths => tenths * TICK_MS),
+});
+const zoneLists = fc.constantFrom(['a', 'b', 'c'], ['a', 'a', 'b', 'b', 'c', 'c'], ['a', 'a', 'a', 'a', 'b', 'b']);
+
+function applyFault(fleet: Fleet, kind: string, entry: Simulated): void {
+	const actions: Record<string, () => void> = {
+		store() {
+			entry.hasStore = false;
+		},
+		peers() {
+			entry.isReachable = false;
+		},
+		all() {
+			entry.hasStore = false;
+			entry.isReachable = false;
+		},
+		pause() {
+			entry.isPaused = !entry.isPaused;
+		},
+		storeDown() {
+			fleet.isStoreUp = false;
+		},
+		accept() {
+			fleet.accept(entry);
+		},
+		heal() {
+			fleet.isStoreUp = true;
+			healAll(fleet);
+		},
+	};
+	actions[kind]!();
+}
+
+function healAll(fleet: Fleet): void {
+	for (const entry of fleet.entries) {
+		entry.hasStore = true;
+		entry.isReachable = true;
+		entry.isPaused = false;
+	}
+}
+
+/** Tells whether an entry serves with a revision that was replaced longer ago than promised. */
+function isServingStale(fleet: Fleet, entry: Simulated): boolean {
+	const replacedAtMs = fleet.acceptedAtMs[entry.state.configuration.revision + 1];
+	return !entry.isPaused && replacedAtMs !== undefined && fleet.nowMs - replacedAtMs > WITHDRAWN_LIMIT_MS && fleet.isSure(entry);
+}
+
+describe('the spread of a configuration', () => {
+	it('never lets an entry serve by a replaced key set past the limit, whatever is cut, paused, late or down, and never reverts', () => {
+		fc.assert(fc.property(zoneLists, fc.array(faults, {maxLength: 25}), fc.array(fc.nat(12), {minLength: 1, maxLength: 20}), (zones, steps, delays) => {
+			let turn = 0;
+			const fleet = new Fleet(zones, () => {
+				turn += 1;
+				return delays[turn % delays.length]! * TICK_MS;
+			});
+			for (const {entry, kind, durationMs} of steps) {
+				applyFault(fleet, kind, fleet.entries[entry % zones.length]!);
+				for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) {
+					const before = fleet.entries.map(({state}) => state.configuration.revision);
+					fleet.advance(TICK_MS);
+					for (const [index, simulated] of fleet.entries.entries()) {
+						assert.ok(!isServingStale(fleet, simulated), `${simulated.record.instanceId} serves by a replaced key set`);
+						assert.ok(simulated.state.configuration.revision >= before[index]!, 'reverted');
+					}
+				}
+			}
+		}), {seed: SEED, numRuns: 300});
+	});
+
+	it('puts every accepted revision in force everywhere within seconds of the end of a fault, and all are sure of it', () => {
+		fc.assert(fc.property(zoneLists, fc.array(faults, {maxLength: 12}), (zones, steps) => {
+			const fleet = new Fleet(zones, () => TICK_MS);
+			for (const {entry, kind, durationMs} of steps) {
+				applyFault(fleet, kind, fleet.entries[entry % zones.length]!);
+				fleet.advance(durationMs);
+			}
+
+			healAll(fleet);
+			fleet.isStoreUp = true;
+			fleet.accept(fleet.entries[0]!);
+			fleet.advance(WITHDRAWN_LIMIT_MS);
+			for (const entry of fleet.entries) {
+				assert.equal(entry.state.configuration.revision, fleet.revision);
+				assert.ok(fleet.isSure(entry));
+			}
+		}), {seed: SEED, numRuns: 100});
+	});
+
+	it('goes on through an entry that is cut off from the store, while its peers are not', () => {
+		const fleet = new Fleet(['a', 'b', 'c'], () => TICK_MS);
+		fleet.advance(3000);
+		fleet.entries[2]!.hasStore = false;
+		for (let passedMs = 0; passedMs < 20_000; passedMs += TICK_MS) {
+			fleet.advance(TICK_MS);
+			assert.ok(fleet.entries.every(entry => fleet.isSure(entry)));
+		}
+
+		fleet.accept(fleet.entries[0]!);
+		fleet.advance(3000);
+		assert.equal(fleet.entries[2]!.state.configuration.revision, fleet.revision);
+	});
+
+	it('keeps entries sure of their keys while the store is down for everyone, and unsure while it may not be', () => {
+		const fleet = new Fleet(['a', 'a', 'b', 'b', 'c', 'c'], () => TICK_MS);
+		fleet.advance(3000);
+		fleet.isStoreUp = false;
+		for (let passedMs = 0; passedMs < 60_000; passedMs += TICK_MS) {
+			fleet.advance(TICK_MS);
+			assert.ok(fleet.entries.every(entry => fleet.isSure(entry)));
+		}
+
+		const cut = fleet.entries.filter(({record}) => record.availabilityZone === 'c');
+		for (const entry of cut) {
+			entry.isReachable = false;
+		}
+
+		fleet.advance(KEYS_FRESH_MS + CALL_TIMEOUT_MS);
+		assert.ok(fleet.entries.every(entry => !fleet.isSure(entry)));
+	});
+
+	it('has few relays in a zone, and gives each entry one parent and few children at any size', () => {
+		const instances = Array.from({length: 860}, (_, index): InstanceRecord => ({
+			instanceId: `entry-${index}`, kind: 'entry', availabilityZone: `zone-${index % 12}`, region: 'r', address: `entry-${index}`, state: 'live', serviceId: '', incarnation: 1,
+		}));
+		const parents = new Map<string, string>();
+		let relays = 0;
+		for (const record of instances) {
+			const {state} = {state: createEntryState({...record, processId: record.instanceId})};
+			reduceEntry(state, {type: 'instances.listed', nowMs: 0, instances});
+			relays += isRelay(state.spread.tree) ? 1 : 0;
+			for (const child of findChildren(state.spread.tree)) {
+				assert.equal(child.availabilityZone, record.availabilityZone);
+				assert.ok(!parents.has(child.instanceId));
+				parents.set(child.instanceId, record.instanceId);
+			}
+
+			if (!isRelay(state.spread.tree)) {
+				parents.set(`asks ${record.instanceId}`, listSources(state.spread.tree)[0]!.instanceId);
+			}
+		}
+
+		assert.equal(relays, 24);
+		for (const {instanceId} of instances) {
+			assert.equal(parents.get(`asks ${instanceId}`), parents.get(instanceId));
+		}
+	});
+});
--- a/packages/core/src/configuration/configurationHandlers.ts
+++ b/packages/core/src/configuration/configurationHandlers.ts
@@ -3,6 +3,7 @@
 import {type EntryEvent} from '../reducer/entryEvents.js';
 import {type EntryState} from '../reducer/entryState.js';
 import {applyUpdate, toDocument} from './configurationCopy.js';
+import {planPassing} from './spreadHandlers.js';
 import {applyConfiguration} from './configurationState.js';
 
 /** Handlers by which an entry puts configurations in force. */
@@ -29,8 +30,9 @@
 
 		const {revision} = configuration.copy;
 		applyConfiguration(configuration, {revision, document: toDocument(configuration.copy)});
-		return [{
+		const applied: EntryEffect = {
 			type: 'decision.record', name: 'configuration.applied', subject: instanceId, detail: {revision, source},
-		}];
+		};
+		return [applied, ...planPassing(state, update, source)];
 	},
 };
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -1,4 +1,5 @@
 import {type Failure} from '@damaskspool/shared';
+import {type ConfigurationEffect} from '../configuration/configurationMessages.js';
 import {type FleetEffect} from '../fleet/fleetMessages.js';
 import {type LeaseEffect} from '../lease/leaseMessages.js';
 import {type CallUsage} from '../usage/usageCalls.js';
@@ -34,4 +35,4 @@
 /** Every effect of an entry. */
 export type EntryEffect
 	= | SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision
-		| LeaseEffect | FleetEffect | CallUsage;
+		| ConfigurationEffect | LeaseEffect | FleetEffect | CallUsage;
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -1,6 +1,7 @@
 import {
-	type Configuration, type ConfigurationUpdate, type Failure, type InstanceRecord, type LoadReport, type UsageCounts,
+	type Failure, type InstanceRecord, type LoadReport, type UsageCounts,
 } from '@damaskspool/shared';
+import {type ConfigurationEvent} from '../configuration/configurationMessages.js';
 import {type FleetEvent} from '../fleet/fleetMessages.js';
 import {type UsageReply} from '../usage/usageCalls.js';
 import {type LeaseEvent} from '../lease/leaseMessages.js';
@@ -55,13 +56,6 @@
 }>;
 /** The caller closed its connection before its answer was whole. */
 export type CallerLeft = Timed<'caller.left', {readonly requestId: string}>;
-/** A configuration was read from the object API or a peer. */
-export type ConfigurationRead = Timed<'configuration.read', {readonly configuration: Configuration}>;
-/** A later revision came from the store, from a peer, or by a change that this entry proposed. */
-export type ConfigurationUpdated = Timed<'configuration.updated', {
-	readonly update: ConfigurationUpdate;
-	readonly source: 'store' | 'peer' | 'proposal';
-}>;
 /** The platform's instance list was read. */
 export type InstancesListed = Timed<'instances.listed', {readonly instances: readonly InstanceRecord[]}>;
 /** A sidecar reported its load. */
@@ -93,6 +87,6 @@
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
-		| ConfigurationRead | ConfigurationUpdated | InstancesListed | LoadReported | Tick | StopRequested
+		| InstancesListed | LoadReported | Tick | StopRequested
 		| UsageStarted | UsageEnded | UsageFlushDue | UsageSealDue | UsageReplied
-		| LeaseEvent | FleetEvent;
+		| ConfigurationEvent | LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,6 +1,7 @@
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
 import {fleetHandlers} from '../fleet/fleetHandlers.js';
 import {leaseHandlers} from '../lease/leaseHandlers.js';
+import {spreadHandlers} from '../configuration/spreadHandlers.js';
 import {membershipHandlers} from '../membership/membershipHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
 import {routingHandlers} from '../routing/routingHandlers.js';
@@ -15,6 +16,7 @@
 	tables: [
 		routingHandlers,
 		configurationHandlers,
+		spreadHandlers,
 		membershipHandlers,
 		requestHandlers,
 		leaseHandlers,
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -2,6 +2,7 @@
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
 import {createFleetState, type FleetState} from '../fleet/fleetState.js';
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
+import {createSpreadState, type SpreadState} from '../configuration/spreadState.js';
 import {createMembershipState, type MembershipState} from '../membership/membershipState.js';
 import {type PlanZone} from '../planning/zonePlan.js';
 import {type RequestRecord} from '../request/requestRecord.js';
@@ -22,6 +23,7 @@
 	isStopping: boolean;
 	configuration: ConfigurationState;
 	membership: MembershipState;
+	spread: SpreadState;
 	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
 	lease: LeaseState;
@@ -62,6 +64,7 @@
 		isStopping: false,
 		configuration: createConfigurationState(),
 		membership: createMembershipState(),
+		spread: createSpreadState(options),
 		routing: createRoutingState(options.routingPolicy),
 		requests: new Map(),
 		lease: createLeaseState({
--- a/packages/core/src/request/requestHandlers.ts
+++ b/packages/core/src/request/requestHandlers.ts
@@ -2,6 +2,8 @@
 	createFailure, ERROR_CODES, type Failure, OUTCOMES,
 } from '@damaskspool/shared';
 import {type ResolvedRoute, resolveRoute} from '../configuration/configurationState.js';
+import {hasPeers} from '../configuration/spreadHandlers.js';
+import {isKeySetSure} from '../keys/keyFreshness.js';
 import {mergeLoadReport, recordTargetFailure, recordTargetSuccess} from '../membership/membershipState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type EntryEffect} from '../reducer/entryEffects.js';
@@ -24,7 +26,7 @@
 /** Handlers of a request's life at its entry. */
 export const requestHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
 	'request.received'(state, {facts, nowMs}) {
-		const admission = admitRequest(state, facts);
+		const admission = admitRequest(state, facts, nowMs);
 		if ('code' in admission) {
 			return [{type: 'request.refuse', requestId: facts.requestId, failure: admission}];
 		}
@@ -128,7 +130,7 @@
 }
 
 /** Checks a request against the configuration in force. */
-function admitRequest(state: EntryState, facts: RequestFacts): Admission | Failure {
+function admitRequest(state: EntryState, facts: RequestFacts, nowMs: number): Admission | Failure {
 	if (state.isStopping) {
 		return createFailure(ERROR_CODES.leaving);
 	}
@@ -142,6 +144,10 @@
 		return createFailure(ERROR_CODES.routeUnknown);
 	}
 
+	if (resolved.route.access === 'keyed' && !isKeySetSure({...state.configuration, hasPeers: hasPeers(state)}, nowMs)) {
+		return createFailure(ERROR_CODES.keysStale, {retryAfterMs: 1000});
+	}
+
 	const customerId = resolveCustomer(state, facts, resolved);
 	if (typeof customerId !== 'string') {
 		return customerId;
--- a/packages/daemon/src/entry/createConfigurationStore.ts
+++ b/packages/daemon/src/entry/createConfigurationStore.ts
@@ -30,8 +30,8 @@
 	readonly objectApi: ObjectApiClient;
 	/** What the process holds; only read. */
 	readonly readCopy: () => ConfigurationCopy;
-	/** Called with a change of this process as soon as it is accepted. */
-	readonly onAccepted: (update: ConfigurationUpdate) => void;
+	/** Called with what the process lacked when it proposed a change, and with the change as soon as it is accepted. */
+	readonly onUpdate: (update: ConfigurationUpdate, source: 'store' | 'proposal') => void;
 };
 
 /** Attempts of one change before its proposer is told of the conflict: each loses only to a change that was accepted. */
@@ -50,7 +50,7 @@
  * @returns reading and proposing
  */
 export function createConfigurationStore(options: ConfigurationStoreOptions): ConfigurationStore {
-	const {objectApi, readCopy, onAccepted} = options;
+	const {objectApi, readCopy, onUpdate} = options;
 
 	const readHead = async (): Promise<Result<{head: ConfigurationHead | undefined; version: number}, Failure>> => {
 		const read = await objectApi.read(CONFIGURATION_HEAD_KEY);
@@ -135,7 +135,7 @@
 			return {kind: 'again', mayBeAccepted: accepted.val.code !== ERROR_CODES.versionConflict};
 		}
 
-		onAccepted(update);
+		onUpdate(update, 'proposal');
 		for (const key of removals) {
 			// A document that stays behind costs space only.
 			void removeObject(objectApi, key);
@@ -155,6 +155,10 @@
 					return Err({...stored.val, outcome: toOutcome(mayBeAccepted)});
 				}
 
+				if (stored.val.update !== undefined) {
+					onUpdate(stored.val.update, 'store');
+				}
+
 				baseRevision ??= stored.val.head?.revision ?? 0;
 				const step = await writePlanned(stored.val, proposal, baseRevision);
 				if (step.kind === 'ended') {
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -66,6 +66,7 @@
 			loop.dispatch(event);
 		},
 		readState: () => loop.state,
+		readConfigurationStatus: async revision => configurationPart.readStatus(revision),
 		proposeChange: async proposal => configurationPart.proposeChange(proposal),
 		readClock: () => loop.readClock(),
 	};
@@ -93,6 +94,7 @@
 		effectHandlers: {
 			...requestPart.effectHandlers,
 			...decisionPart.effectHandlers,
+			...configurationPart.effectHandlers,
 			...leasePart.effectHandlers,
 			...fleetPart.effectHandlers,
 			...usagePart.effectHandlers,
--- a/packages/daemon/src/entry/entryPart.ts
+++ b/packages/daemon/src/entry/entryPart.ts
@@ -6,6 +6,7 @@
 	type ChangeReceipt, type ConfigurationProposal, type Failure, type Result,
 } from '@damaskspool/shared';
 import {type EntrySettings} from '../settings.js';
+import {type ConfigurationStatus} from './readConfigurationStatus.js';
 
 /** What every part of an entry may use. */
 export type EntryContext = {
@@ -18,6 +19,8 @@
 	readonly readControlAddress: () => string;
 	readonly dispatch: (event: UntimedEvent<EntryEvent>) => void;
 	readonly readState: () => EntryState;
+	/** Asks every entry which revision is in force there. */
+	readonly readConfigurationStatus: (revision?: number) => Promise<ConfigurationStatus>;
 	/** Proposes a change of the configuration; accepted once the receipt is there. */
 	readonly proposeChange: (proposal: ConfigurationProposal) => Promise<Result<ChangeReceipt, Failure>>;
 	readonly readClock: () => number;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export * from './configurationAnswer.js';
 export * from './configurationDocument.js';
 export * from './configurationEdit.js';
 export * from './configurationHead.js';
