Refuse bad input with a code of its own, and keep keys from targets in every place

A request could carry its key past the entry behind a broken percent sequence, a doubled JSON member or a second header; a dot segment led from an open route to a keyed one; a body over the limit closed the connection before the refusal was seen; a wait for a drained connection that had closed already never ended; and an answer of another request ended the sidecar with an unhandled error of its body. The key search now undoes encodings sequence by sequence and knows issued keys by their prefix, paths must be in plain form, and a stream is followed by its event numbers, so that a gap or a doubled token is found.

Before the change the sidecar ended with code 1 in the case of the crossed answer.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,3 +6,4 @@
 export * from './load/runTraffic.js';
 export * from './load/sendPlanned.js';
 export * from './load/summarizeResults.js';
+export * from './harness/startSmallDeployment.js';
--- a/packages/daemon/src/entry/callerAnswer.ts
+++ b/packages/daemon/src/entry/callerAnswer.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {writeWithBackPressure} from '@damaskspool/runtime';
 import {
 	ERROR_DESCRIPTIONS, type Failure, HEADERS, type Outcome, OUTCOMES, SECOND_MS,
 } from '@damaskspool/shared';
@@ -9,8 +9,8 @@
 export type CallerAnswer = {
 	/** Whether a part of a stream was already sent. */
 	readonly isStarted: () => boolean;
-	/** Sends one whole event; resolves when the caller's connection takes more. */
-	readonly sendEvent: (bytes: Buffer) => Promise<void>;
+	/** Sends one whole event; resolves when the caller's connection takes more, with false once it takes none. */
+	readonly sendEvent: (bytes: Buffer) => Promise<boolean>;
 	/** Keeps a whole answer that is no stream until the request is complete. */
 	readonly holdWhole: (status: number, contentType: string, body: Buffer) => void;
 	readonly complete: () => void;
@@ -25,6 +25,8 @@
  * @returns the caller's side
  */
 export function createCallerAnswer(response: ServerResponse, requestId: string): CallerAnswer {
+	// A caller may leave at any write; its request hears of that by 'close'.
+	response.on('error', () => undefined);
 	let held: {status: number; contentType: string; body: Buffer} | undefined;
 	let isStream = false;
 
@@ -55,13 +57,16 @@
 	return {
 		isStarted: () => isStream,
 		async sendEvent(bytes) {
+			// An attempt that was given up may still hold an event when the answer is already closed.
+			if (response.writableEnded || response.destroyed) {
+				return false;
+			}
+
 			if (!isStream) {
 				startStream();
 			}
 
-			if (!response.write(bytes)) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
-			}
+			return writeWithBackPressure(response, bytes);
 		},
 		holdWhole(status, contentType, body) {
 			held = {status, contentType, body};
@@ -111,6 +116,9 @@
 	};
 }
 
+/** Time for which the rest of a refused body is read and dropped, so that the caller sees the refusal and no reset. */
+const UNREAD_DRAIN_MS = 1000;
+
 /**
  * Refuses a request whose body was not read whole; its connection cannot be used again.
  *
@@ -121,8 +129,20 @@
 export function refuseUnread(incoming: IncomingMessage, response: ServerResponse, failure: Failure): void {
 	const text = JSON.stringify(toErrorBody(failure, ''));
 	const {status} = ERROR_DESCRIPTIONS[failure.code];
-	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text), connection: 'close'});
-	response.end(text, () => {
+	response.on('error', () => undefined);
+	response.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(text),
+		[HEADERS.outcome]: failure.outcome,
+		[HEADERS.errorCode]: failure.code,
+		connection: 'close',
+	});
+	response.end(text);
+	incoming.resume();
+	const timer = setTimeout(() => {
 		incoming.destroy();
+	}, UNREAD_DRAIN_MS);
+	incoming.on('close', () => {
+		clearTimeout(timer);
 	});
 }
--- a/packages/daemon/src/entry/createRequestPart.ts
+++ b/packages/daemon/src/entry/createRequestPart.ts
@@ -129,6 +129,11 @@
 				return;
 			}
 
+			// The caller may have left while its body was read; no event would tell of it any more.
+			if (response.destroyed || response.closed) {
+				return;
+			}
+
 			const request = read.val;
 			const {requestId} = request.facts;
 			open.set(requestId, {
@@ -140,8 +145,9 @@
 			});
 			response.on('close', () => {
 				if (open.has(requestId) && !response.writableFinished) {
+					const left = closeRequest(requestId);
 					dispatch({type: 'caller.left', requestId});
-					closeRequest(requestId);
+					left?.attempt?.abort();
 				}
 			});
 			dispatch({type: 'request.received', facts: request.facts});
--- a/packages/daemon/src/entry/readCallerRequest.ts
+++ b/packages/daemon/src/entry/readCallerRequest.ts
@@ -6,6 +6,7 @@
 import {
 	BYTES_PER_TOKEN, createFailure, Err, ERROR_CODES, type Failure, hashPrefixes, hashText, HEADERS, Ok, type Result,
 } from '@damaskspool/shared';
+import {hasKeyTrace, KEY_MIN_LENGTH, readPresentedKeys} from './keyTraces.js';
 
 /** A caller's request, read whole and cleared of its key. */
 export type CallerRequest = {
@@ -19,8 +20,6 @@
 
 /** Headers of a caller that reach a target; any other, and so any copy of the key, stays here. */
 const FORWARDED_HEADERS = ['accept', 'accept-language', 'content-type', 'user-agent', HEADERS.idempotencyKey] as const;
-/** Shortest key that is looked for in other places; shorter text may stand there by chance. */
-const KEY_SEARCH_MIN_LENGTH = 8;
 /** Tokens that a request may generate where it does not say. */
 const DEFAULT_MAX_TOKENS = 256;
 /** Seeds are 32-bit numbers. */
@@ -38,7 +37,16 @@
 	incoming: IncomingMessage,
 	bodyLimitBytes: number,
 ): Promise<Result<CallerRequest, Failure>> {
-	const key = readKey(incoming.headers);
+	const keys = readPresentedKeys(incoming);
+	const url = incoming.url ?? '/';
+	if (keys.length > 1) {
+		return Err(createFailure(ERROR_CODES.headerInvalid, {detail: 'two different keys'}));
+	}
+
+	if (!isPlainTarget(url)) {
+		return Err(createFailure(ERROR_CODES.headerInvalid, {detail: 'the path is not in its plain form'}));
+	}
+
 	const read = await readBody(incoming, bodyLimitBytes);
 	if (read.err) {
 		return read;
@@ -46,11 +54,14 @@
 
 	const body = read.val;
 	const headers = selectHeaders(incoming.headers);
-	const url = incoming.url ?? '/';
-	if (key !== undefined && isCarryingKey(key, [url, ...Object.values(headers)], body)) {
+	if (hasKeyTrace(keys, {target: url, headerValues: Object.values(headers), body})) {
 		return Err(createFailure(ERROR_CODES.keyInBody));
 	}
 
+	if (body.length > 0 && incoming.method === 'GET') {
+		return Err(createFailure(ERROR_CODES.headerInvalid, {detail: 'a GET has no body'}));
+	}
+
 	const parsed = parseBody(incoming, body);
 	if (parsed.err) {
 		return parsed;
@@ -61,7 +72,7 @@
 		requestId: randomUUID(),
 		method: incoming.method ?? 'GET',
 		path: url.split('?', 1)[0] ?? '/',
-		keyHash: key === undefined ? undefined : hashText(key),
+		keyHash: hashKey(keys[0]),
 		modelId: typeof model === 'string' ? model : undefined,
 		bodyBytes: body.length,
 		promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
@@ -89,11 +100,30 @@
 		.join('\n');
 }
 
-/** Reads the key from `Authorization: Bearer` or `x-api-key`, the two places that callers' clients use. */
-function readKey(headers: IncomingHttpHeaders): string | undefined {
-	const bearer = /^Bearer +(?<key>\S+)$/iv.exec(headers.authorization ?? '')?.groups?.key;
-	const other = headers['x-api-key'];
-	return bearer ?? (typeof other === 'string' && other !== '' ? other : undefined);
+/** Stands for a key that is too short to be one; no hash of a key is like it. */
+const SHORT_KEY_HASH = 'short';
+
+/** Only the hash of a key is looked up, so the time of a look-up tells nothing of the keys that exist. */
+function hashKey(key: string | undefined): string | undefined {
+	if (key === undefined) {
+		return undefined;
+	}
+
+	return key.length < KEY_MIN_LENGTH ? SHORT_KEY_HASH : hashText(key);
+}
+
+/**
+ * Tells whether a path means the same to whoever reads it next. Dot segments,
+ * backslashes and empty segments could lead a target to another route than the
+ * one that was checked.
+ */
+function isPlainTarget(url: string): boolean {
+	const [path = ''] = url.split('?', 1);
+	const decoded = path.replaceAll(/%(?:2e)/giv, '.').replaceAll(/%(?:2f|5c)/giv, '/');
+	return /^[\u0021-\u007E]+$/v.test(url)
+		&& path.startsWith('/')
+		&& !/[#\\]/v.test(url)
+		&& !/\/(?:\.{0,2}(?:\/|;)|\.{1,2}$)/v.test(decoded);
 }
 
 function selectHeaders(headers: IncomingHttpHeaders): Record<string, string> {
@@ -108,36 +138,6 @@
 	return selected;
 }
 
-function isCarryingKey(key: string, texts: readonly string[], body: Buffer): boolean {
-	if (key.length < KEY_SEARCH_MIN_LENGTH) {
-		return false;
-	}
-
-	const isInText = texts.some(text => text.includes(key) || decodePercent(text).includes(key));
-	return isInText || body.includes(key) || decodeJsonEscapes(body).includes(key);
-}
-
-function decodePercent(text: string): string {
-	try {
-		return decodeURIComponent(text);
-	} catch {
-		return text;
-	}
-}
-
-/** A key can hide from a plain search behind `\uXXXX` escapes; parsed and written again it cannot. */
-function decodeJsonEscapes(body: Buffer): string {
-	if (!body.includes(String.raw`\u`)) {
-		return '';
-	}
-
-	try {
-		return JSON.stringify(JSON.parse(body.toString('utf8')));
-	} catch {
-		return '';
-	}
-}
-
 function parseBody(incoming: IncomingMessage, body: Buffer): Result<Record<string, unknown>, Failure> {
 	if (body.length === 0 && incoming.method !== 'POST') {
 		return Ok({});
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -1,7 +1,9 @@
 import {type Buffer} from 'node:buffer';
 import {type Readable} from 'node:stream';
 import {type SendAttempt} from '@damaskspool/core';
-import {MalformedStreamError, readBody, splitServerSentEvents} from '@damaskspool/runtime';
+import {
+	discardBody, MalformedStreamError, readBody, splitServerSentEvents,
+} from '@damaskspool/runtime';
 import {
 	computeFingerprint, createFailure, ERROR_CODES, type ErrorCode, type Failure, HEADERS, type LoadReport,
 	loadReportSchema, MEBIBYTE_BYTES, type Outcome, OUTCOMES,
@@ -15,9 +17,16 @@
 const WHOLE_ANSWER_LIMIT_BYTES = 4 * MEBIBYTE_BYTES;
 /** Data of the last event of a whole stream. */
 const STREAM_END = '[DONE]';
+/** Longest wait for the end of a body after its last event; a whole answer is not held back by it. */
+const BODY_END_WAIT_MS = 20;
 /** Errors of a connection that was never made: nothing of the request can have left this process. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
+/** Refusals of a sidecar that speak of its target, and not of the queue or the request. */
+const TARGET_FAULT_CODES: ReadonlySet<string> = new Set([
+	ERROR_CODES.targetFailed, ERROR_CODES.targetUnreachable, ERROR_CODES.answerCrossed, ERROR_CODES.answerMalformed,
+]);
+
 /** How much of a request's stream its caller has. It outlives attempts, so that the next one resumes there. */
 export type StreamProgress = {
 	lastEventId: string | undefined;
@@ -72,7 +81,7 @@
 
 	const end = await passAnswerOn(options, response);
 	if (end.type === 'failed') {
-		response.body.destroy();
+		discardBody(response.body);
 	}
 
 	return end;
@@ -112,7 +121,7 @@
 	if (typeof refusal === 'string') {
 		const outcome = headers[HEADERS.outcome] === OUTCOMES.refusedNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
 		await body.dump();
-		return createFailedEnd(toErrorCode(refusal), {outcome, load, isTargetFault: outcome !== OUTCOMES.refusedNotRun});
+		return createFailedEnd(toErrorCode(refusal), {outcome, load, isTargetFault: TARGET_FAULT_CODES.has(refusal)});
 	}
 
 	onAnswered(load);
@@ -123,6 +132,10 @@
 		return passStreamOn(options, body);
 	}
 
+	if (answer.isStarted()) {
+		return createFailedEnd(ERROR_CODES.answerMalformed, {load, detail: 'a stream was not resumed as one'});
+	}
+
 	const whole = await readBody(body, WHOLE_ANSWER_LIMIT_BYTES);
 	if (whole.err) {
 		return createFailedEnd(ERROR_CODES.answerMalformed, {load, detail: whole.val.message});
@@ -134,11 +147,23 @@
 }
 
 async function passStreamOn({answer, progress, meter}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
+	const events = splitServerSentEvents(body);
 	try {
-		for await (const event of splitServerSentEvents(body)) {
+		for (;;) {
+			const next = await events.next();
+			if (next.done) {
+				return createFailedEnd(ERROR_CODES.targetFailed, {detail: 'the stream ended early'});
+			}
+
+			const event = next.value;
+			if (event.id !== undefined && !isNextEvent(progress.lastEventId, event.id)) {
+				return createFailedEnd(ERROR_CODES.answerMalformed, {detail: 'an event of the stream is missing or doubled'});
+			}
+
 			meter.add(event.bytes);
 			await answer.sendEvent(event.bytes);
 			if (event.data === STREAM_END) {
+				await endBody(events, body);
 				return {type: 'finished', generatedTokens: progress.generatedTokens};
 			}
 
@@ -151,8 +176,32 @@
 		const code = error instanceof MalformedStreamError ? ERROR_CODES.answerMalformed : ERROR_CODES.targetFailed;
 		return createFailedEnd(code, {detail: (error as Error).message});
 	}
+}
+
+/** Whether an event follows the last one that the caller has; identifiers that are no numbers only must differ. */
+function isNextEvent(lastId: string | undefined, id: string): boolean {
+	if (lastId === undefined) {
+		return true;
+	}
+
+	const isNumbered = /^\d{1,15}$/v.test(lastId) && /^\d{1,15}$/v.test(id);
+	return isNumbered ? Number(id) === Number(lastId) + 1 : id !== lastId;
+}
 
-	return createFailedEnd(ERROR_CODES.targetFailed, {detail: 'the stream ended early'});
+/** Reads the end of a body whose last event came, so that its connection serves again; one that does not end is closed. */
+async function endBody(events: AsyncGenerator, body: Readable): Promise<void> {
+	let timer: NodeJS.Timeout | undefined;
+	const waited = new Promise<void>(resolve => {
+		timer = setTimeout(resolve, BODY_END_WAIT_MS);
+	});
+	try {
+		await Promise.race([events.next(), waited]);
+	} catch {
+		// The answer is whole whatever follows its last event.
+	} finally {
+		clearTimeout(timer);
+		discardBody(body);
+	}
 }
 
 function createFailedEnd(
--- a/packages/daemon/src/sidecar/createWorkPart.ts
+++ b/packages/daemon/src/sidecar/createWorkPart.ts
@@ -89,11 +89,19 @@
 			}
 
 			const {attemptId} = work;
-			open.set(attemptId, {
+			response.on('error', () => undefined);
+			if (open.has(attemptId)) {
+				// The first copy may be running, so nothing is proven of the attempt.
+				refuseWork(response, work.requestId, createFailure(ERROR_CODES.duplicateCall, {outcome: OUTCOMES.refusedUnknown}), readLoadHeader());
+				return;
+			}
+
+			const opened: OpenWork = {
 				work, incoming, response, abort: new AbortController(),
-			});
+			};
+			open.set(attemptId, opened);
 			response.on('close', () => {
-				if (!open.has(attemptId) || response.writableFinished) {
+				if (open.get(attemptId) !== opened || response.writableFinished) {
 					return;
 				}
 
@@ -107,14 +115,13 @@
 	};
 }
 
-/** Refuses work of which the target saw nothing. */
-
+/** Refuses work; the entry reads the outcome from the answer's headers. */
 function refuseWork(response: ServerResponse, requestId: string, failure: Failure, load: string): void {
 	response.writeHead(503, {
 		'content-type': 'application/json',
 		'content-length': 0,
 		[HEADERS.requestId]: requestId,
-		[HEADERS.outcome]: OUTCOMES.refusedNotRun,
+		[HEADERS.outcome]: failure.outcome,
 		[HEADERS.errorCode]: failure.code,
 		[HEADERS.load]: load,
 	});
--- a/packages/daemon/src/sidecar/runOnTarget.ts
+++ b/packages/daemon/src/sidecar/runOnTarget.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {PassThrough} from 'node:stream';
 import {type Work} from '@damaskspool/core';
+import {discardBody, writeWithBackPressure} from '@damaskspool/runtime';
 import {
 	ERROR_CODES, type ErrorCode, HEADERS, OUTCOMES,
 } from '@damaskspool/shared';
@@ -21,8 +22,10 @@
 	HEADERS.requestId,
 	HEADERS.priority,
 ] as const;
-/** Field by which the events of a stream that carry a token are counted. */
-const EVENT_ID_FIELD = Buffer.from('id: ');
+/** Beginning of the line by which the events of a stream that carry a token are counted. */
+const EVENT_ID_FIELD = Buffer.from('\nid:');
+/** Errors of a connection that was never made: the target can have seen nothing. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Options of {@link runOnTarget}. */
 export type RunOnTargetOptions = {
@@ -55,20 +58,20 @@
 			method: (incoming.method ?? 'GET'),
 			path: incoming.url ?? '/',
 			headers: selectTargetHeaders(incoming),
-			body: incoming.method === 'GET' ? null : incoming,
+			body: createTargetBody(incoming),
 			signal: abort.signal,
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		});
 	} catch (error) {
-		const isNotSent = (error as {code?: string}).code === 'ECONNREFUSED';
+		const isNotSent = NOT_SENT_CODES.has((error as {code?: string}).code ?? '');
 		refuseFailed(options, ERROR_CODES.targetFailed, isNotSent);
 		return 0;
 	}
 
 	const echoed = answer.headers[HEADERS.requestId];
 	if (echoed !== undefined && echoed !== work.requestId) {
-		answer.body.destroy();
+		discardBody(answer.body);
 		refuseFailed(options, ERROR_CODES.answerCrossed, false);
 		return 0;
 	}
@@ -82,13 +85,13 @@
 		[HEADERS.requestId]: work.requestId,
 		[HEADERS.load]: readLoadHeader(),
 	});
-	let generatedTokens = 0;
+	const counter = createEventCounter();
 	try {
 		for await (const chunk of answer.body as AsyncIterable<Buffer>) {
 			meter.add(chunk);
-			generatedTokens += countEvents(chunk);
-			if (!response.write(chunk)) {
-				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			counter.add(chunk);
+			if (!await writeWithBackPressure(response, chunk)) {
+				break;
 			}
 		}
 
@@ -98,7 +101,31 @@
 		response.destroy();
 	}
 
-	return generatedTokens;
+	return counter.readCount();
+}
+
+/**
+ * Gives the target the body by way of a stream of its own: a connection that
+ * fails closes that stream and not the entry's connection, over which the entry
+ * is told what happened.
+ */
+function createTargetBody(incoming: IncomingMessage): PassThrough | null {
+	const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined;
+	if (incoming.method === 'GET' || !hasBody) {
+		return null;
+	}
+
+	const body = new PassThrough();
+	incoming.on('error', error => {
+		body.destroy(error);
+	});
+	incoming.pipe(body);
+	// What the target did not take is read and dropped, so that the entry's connection serves again.
+	body.on('error', () => {
+		incoming.unpipe(body);
+		incoming.resume();
+	});
+	return body;
 }
 
 function selectTargetHeaders(incoming: IncomingMessage): Record<string, string> {
@@ -128,11 +155,20 @@
 	response.end();
 }
 
-function countEvents(chunk: Buffer): number {
+/** Counts events with an id, also where the field stands across the border of two chunks. */
+function createEventCounter() {
 	let count = 0;
-	for (let at = chunk.indexOf(EVENT_ID_FIELD); at !== -1; at = chunk.indexOf(EVENT_ID_FIELD, at + 1)) {
-		count += at === 0 || chunk[at - 1] === 0x0A ? 1 : 0;
-	}
+	// As a stream begins, a line begins.
+	let tail: Buffer = Buffer.from('\n');
+	return {
+		add(chunk: Buffer) {
+			const text = Buffer.concat([tail, chunk]);
+			for (let at = text.indexOf(EVENT_ID_FIELD); at !== -1; at = text.indexOf(EVENT_ID_FIELD, at + 1)) {
+				count += 1;
+			}
 
-	return count;
+			tail = Buffer.from(text.subarray(Math.max(0, text.length - EVENT_ID_FIELD.length + 1)));
+		},
+		readCount: () => count,
+	};
 }
--- a/packages/runtime/src/readBody.ts
+++ b/packages/runtime/src/readBody.ts
@@ -5,7 +5,8 @@
 } from '@damaskspool/shared';
 
 /**
- * Reads a body whole, up to a limit.
+ * Reads a body whole, up to a limit. A body over the limit leaves its stream
+ * open and unread, so that the sender can still be answered.
  *
  * @param stream - body
  * @param limitBytes - most bytes that are held
@@ -15,7 +16,7 @@
 	const chunks: Buffer[] = [];
 	let length = 0;
 	try {
-		for await (const chunk of stream as AsyncIterable<Buffer>) {
+		for await (const chunk of stream.iterator({destroyOnReturn: false}) as AsyncIterable<Buffer>) {
 			length += chunk.length;
 			if (length > limitBytes) {
 				return Err(createFailure(ERROR_CODES.bodyTooLarge));
--- /dev/null
+++ b/packages/runtime/src/writeWithBackPressure.ts
@@ -0,0 +1,32 @@
+import {type Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+
+/**
+ * Writes bytes to an answer and waits until its connection takes more. A
+ * connection that is closed already, or closes meanwhile, ends the wait at once.
+ *
+ * @param response - answer that was begun
+ * @param bytes - what to write
+ * @returns whether the connection still takes bytes
+ */
+export async function writeWithBackPressure(response: ServerResponse, bytes: Buffer): Promise<boolean> {
+	const isOpen = () => !response.destroyed && !response.closed && !response.writableEnded;
+	if (!isOpen()) {
+		return false;
+	}
+
+	if (!response.write(bytes) && isOpen()) {
+		await new Promise<void>(resolve => {
+			const end = () => {
+				response.off('drain', end);
+				response.off('close', end);
+				resolve();
+			};
+
+			response.on('drain', end);
+			response.on('close', end);
+		});
+	}
+
+	return isOpen();
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 export * from './configurationAnswer.js';
+export * from './apiKeys.js';
 export * from './configurationDocument.js';
 export * from './configurationEdit.js';
 export * from './configurationHead.js';
--- a/packages/stand-ins/src/engine/engineSequence.ts
+++ b/packages/stand-ins/src/engine/engineSequence.ts
@@ -74,12 +74,18 @@
 export function writeToken(sequence: EngineSequence): boolean {
 	const {response, requestId, model} = sequence;
 	const isFirst = !response.headersSent;
+	if (sequence.isStream && isFirst) {
+		response.writeHead(200, {'content-type': 'text/event-stream', [HEADERS.requestId]: requestId});
+	}
+
+	// A stream that broke after its last token resumes with nothing but its end.
+	if (sequence.nextIndex >= sequence.maxTokens) {
+		endAnswer(sequence);
+		return false;
+	}
+
 	const content = computeToken(sequence.promptDigest, sequence.nextIndex);
 	if (sequence.isStream) {
-		if (!response.headersSent) {
-			response.writeHead(200, {'content-type': 'text/event-stream', [HEADERS.requestId]: requestId});
-		}
-
 		const chunk = JSON.stringify({
 			id: requestId, model, choices: [{index: 0, delta: {content}}], ...(isFirst && {usage: createUsage(sequence, 1)}),
 		});
