Give operators a query and command language

Cause: a running entry answered one fixed question, and no change could be issued from the command line.

Change: the command line parses statements with an ohm grammar, points at the place of an error and suggests; the entry selects, groups, orders and limits rows in core, asks its peers for their part and says who is missing. Drain gives the order by the holder of the zone's duty. Each entry remembers its latest decisions, by which explain tells of a request or a target. Rows come as table, JSON or CSV.

Conclusion: operators can ask and change; the burn report is still missing.

--- /dev/null
+++ b/packages/cli/src/commands/CompletionCommand.ts
@@ -0,0 +1,53 @@
+import {QUERY_SOURCES} from '@damaskspool/core';
+import {Command} from 'clipanion';
+import {EXIT_CODES} from '../exitCodes.js';
+
+/** Words that may follow each word, by which a shell completes. */
+const WORDS_AFTER: Readonly<Record<string, readonly string[]>> = {
+	damaskspool: ['query', 'create', 'change', 'withdraw', 'drain', 'explain', 'report', 'config', 'completion'],
+	query: Object.keys(QUERY_SOURCES),
+	create: ['customer', 'key', 'service', 'model'],
+	change: ['customer', 'service'],
+	withdraw: ['customer', 'key', 'service', 'model'],
+	drain: ['target'],
+	explain: ['request', 'target'],
+	report: ['burn', 'usage', 'cost'],
+	config: ['check'],
+};
+/** Words of a query beside its source and columns. */
+const CLAUSE_WORDS = ['where', 'and', 'or', 'not', 'group', 'by', 'order', 'desc', 'limit'];
+
+/** Prints a script by which bash completes commands. */
+export class CompletionCommand extends Command {
+	static override paths = [['completion', 'bash']];
+	static override usage = Command.Usage({
+		category: 'Shell',
+		description: 'Prints a script by which bash completes commands.',
+		examples: [['Load it', 'source <(damaskspool completion bash)']],
+	});
+
+	override async execute(): Promise<number> {
+		const cases = Object.entries(WORDS_AFTER).map(([word, words]) => `\t\t${word}) words="${words.join(' ')}" ;;`);
+		const sources = Object.entries(QUERY_SOURCES).map(([source, {columns}]) =>
+			`\t\t\t${source}) words="${[...CLAUSE_WORDS, ...columns].join(' ')}" ;;`);
+		this.context.stdout.write(`${[
+			'_damaskspool() {',
+			'\tlocal words=""',
+			`\tcase ${toWord('COMP_CWORD-1')} in`,
+			...cases,
+			`\t\t*) if [ ${toWord('1')} = query ]; then case ${toWord('2')} in`,
+			...sources,
+			'\t\tesac; fi ;;',
+			'\tesac',
+			`\tCOMPREPLY=($(compgen -W "$words" -- ${toWord('COMP_CWORD')}))`,
+			'}',
+			'complete -F _damaskspool damaskspool',
+		].join('\n')}\n`);
+		return EXIT_CODES.ok;
+	}
+}
+
+/** Names a word of the command line in the shell's own manner. */
+function toWord(index: string): string {
+	return `"$\u007BCOMP_WORDS[${index}]}"`;
+}
--- /dev/null
+++ b/packages/cli/src/commands/ExplainCommand.ts
@@ -0,0 +1,34 @@
+import {Command, Option} from 'clipanion';
+import {EXIT_CODES} from '../exitCodes.js';
+import {OperatorCommand} from './OperatorCommand.js';
+
+/** Tells what the system did with a request or a target, and why. */
+export class ExplainCommand extends OperatorCommand {
+	static override paths = [['explain', 'request'], ['explain', 'target']];
+	static override usage = Command.Usage({
+		category: 'Operation',
+		description: 'Tells what was decided about a request or a target, from the decisions that the entries remember.',
+		examples: [['A request', 'damaskspool explain request 1f0c8a3e-5f3b-4a39-9f5e-6f1f3c2f9a11']],
+	});
+
+	id = Option.String();
+
+	override async execute(): Promise<number> {
+		if (!this.hasEntry()) {
+			return EXIT_CODES.invalid;
+		}
+
+		const isSubject = {
+			type: 'compare', column: 'subject', comparison: '=', value: this.id,
+		} as const;
+		const isInDetail = {
+			type: 'compare', column: 'detail', comparison: '~', value: `"${this.id}"`,
+		} as const;
+		return this.runQuery({
+			source: 'events',
+			where: this.path[1] === 'target' ? {type: 'or', left: isSubject, right: isInDetail} : isSubject,
+			groupBy: [],
+			orderBy: [{column: 'at', isDescending: false}],
+		});
+	}
+}
--- a/packages/cli/src/commands/QueryCommand.ts
+++ b/packages/cli/src/commands/QueryCommand.ts
@@ -1,42 +1,35 @@
-import process from 'node:process';
-import {createRpcCaller} from '@damaskspool/runtime';
-import Table from 'cli-table3';
 import {Command, Option} from 'clipanion';
+import {EXIT_CODES} from '../exitCodes.js';
+import {formatLanguageProblem, parseStatement} from '../language/parseStatement.js';
+import {OperatorCommand} from './OperatorCommand.js';
 
-type Row = Readonly<Record<string, string | number | boolean>>;
-
-/** Asks a running entry what it knows. */
-export class QueryCommand extends Command {
+/** Asks a running entry. */
+export class QueryCommand extends OperatorCommand {
 	static override paths = [['query']];
 	static override usage = Command.Usage({
 		category: 'Operation',
-		description: 'Asks a running entry. The operator\'s key is read from DAMASKSPOOL_KEY.',
-		examples: [['List the targets', 'damaskspool query --entry 127.0.0.1:8081 targets']],
+		description: 'Asks a running entry, which asks the others. The operator\'s key is read from DAMASKSPOOL_KEY.',
+		details: 'query SOURCE [where CONDITION] [group by COLUMNS] [order by COLUMNS] [limit N]; see docs/operate/language.md.',
+		examples: [
+			['List the targets', 'damaskspool query targets'],
+			['Who uses most', 'damaskspool query \'usage group by customer order by generatedTokens desc limit 5\''],
+		],
 	});
 
-	text = Option.String();
-	entry = Option.String('--entry', {required: true, description: 'control address of an entry, ip:port'});
-	isJson = Option.Boolean('--json', false, {description: 'print JSON'});
+	words = Option.Rest({required: 1});
 
 	override async execute(): Promise<number> {
-		const rpc = createRpcCaller();
-		const authorization = `Bearer ${process.env.DAMASKSPOOL_KEY ?? ''}`;
-		const reply = await rpc.call(this.entry, 'operator.query', {source: this.text}, authorization);
-		await rpc.close();
-		if (reply.err) {
-			this.context.stderr.write(`${reply.val.message}\n`);
-			return 1;
+		const text = `query ${this.words.join(' ')}`;
+		const parsed = parseStatement(text);
+		if (parsed.err) {
+			this.context.stderr.write(`${formatLanguageProblem(text, parsed.val)}\n`);
+			return EXIT_CODES.invalid;
 		}
 
-		const {rows} = reply.val as {rows: Row[]};
-		this.context.stdout.write(this.isJson ? `${JSON.stringify(rows)}\n` : `${formatRows(rows)}\n`);
-		return 0;
-	}
-}
+		if (!this.hasEntry() || parsed.val.kind !== 'query') {
+			return EXIT_CODES.invalid;
+		}
 
-function formatRows(rows: readonly Row[]): string {
-	const head = Object.keys(rows[0] ?? {});
-	const table = new Table({head, style: {head: [], border: []}});
-	table.push(...rows.map(row => head.map(column => String(row[column]))));
-	return table.toString();
+		return this.runQuery(parsed.val.query);
+	}
 }
--- /dev/null
+++ b/packages/cli/src/commands/UsageReportCommand.ts
@@ -0,0 +1,25 @@
+import {Command} from 'clipanion';
+import {EXIT_CODES} from '../exitCodes.js';
+import {OperatorCommand} from './OperatorCommand.js';
+
+/** Reports sealed usage, or what it cost. */
+export class UsageReportCommand extends OperatorCommand {
+	static override paths = [['report', 'usage'], ['report', 'cost']];
+	static override usage = Command.Usage({
+		category: 'Reports',
+		description: 'Sealed usage of each customer and service, or the cost of the targets\' time that they took.',
+		examples: [['Usage as CSV', 'damaskspool report usage --format csv'], ['Cost', 'damaskspool report cost']],
+	});
+
+	override async execute(): Promise<number> {
+		if (!this.hasEntry()) {
+			return EXIT_CODES.invalid;
+		}
+
+		return this.path[1] === 'usage'
+			? this.runQuery({
+				source: 'usage', groupBy: ['customer', 'service'], orderBy: [{column: 'customer', isDescending: false}],
+			})
+			: this.runQuery({source: 'cost', groupBy: [], orderBy: [{column: 'cost', isDescending: true}]});
+	}
+}
--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -1,15 +1,21 @@
 import {Builtins, Cli} from 'clipanion';
+import {ChangeCommand} from './commands/ChangeCommand.js';
+import {CompletionCommand} from './commands/CompletionCommand.js';
 import {ConfigCheckCommand} from './commands/ConfigCheckCommand.js';
+import {ExplainCommand} from './commands/ExplainCommand.js';
 import {QueryCommand} from './commands/QueryCommand.js';
+import {UsageReportCommand} from './commands/UsageReportCommand.js';
 
-/** Exit codes of the command line. */
-export const EXIT_CODES = {
-	ok: 0,
-	/** The system or a process of it did not do what was asked. */
-	failed: 1,
-	/** What was asked is not valid. */
-	invalid: 2,
-} as const;
+const COMMANDS = [
+	ConfigCheckCommand,
+	QueryCommand,
+	ChangeCommand,
+	ExplainCommand,
+	UsageReportCommand,
+	CompletionCommand,
+	Builtins.HelpCommand,
+	Builtins.VersionCommand,
+] as const;
 
 /**
  * Creates the command line with all its commands.
@@ -18,9 +24,9 @@
  */
 export function createCli(): Cli {
 	const cli = new Cli({binaryLabel: 'damaskspool', binaryName: 'damaskspool', binaryVersion: '0.1.0'});
-	cli.register(ConfigCheckCommand);
-	cli.register(QueryCommand);
-	cli.register(Builtins.HelpCommand);
-	cli.register(Builtins.VersionCommand);
+	for (const command of COMMANDS) {
+		cli.register(command);
+	}
+
 	return cli;
 }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
 export * from './createCli.js';
+export * from './exitCodes.js';
+export * from './language/parseStatement.js';
--- /dev/null
+++ b/packages/core/src/query/querySources.ts
@@ -0,0 +1,174 @@
+import {type QueryRow} from '@damaskspool/shared';
+import {type EntryState} from '../reducer/entryState.js';
+
+/** Where the rows of a source come from. */
+export type QueryScope
+	/** Any entry knows all of it. */
+	= | 'oneEntry'
+	/** Each entry knows a part. */
+		| 'everyEntry'
+	/** It is kept in the platform's object API. */
+		| 'store';
+
+/** A source of rows. */
+export type QuerySource = {
+	readonly scope: QueryScope;
+	readonly columns: readonly string[];
+	/** Column that tells rows of several entries apart; rows that share it are one. */
+	readonly key?: string;
+};
+
+const USAGE_COLUMNS = [
+	'window',
+	'servedIn',
+	'customer',
+	'service',
+	'requests',
+	'calls',
+	'promptTokens',
+	'repeatedPromptTokens',
+	'cachedTokens',
+	'generatedTokens',
+	'targetMs',
+] as const;
+
+/** Sources by the name after `query`. */
+export const QUERY_SOURCES = {
+	targets: {
+		scope: 'everyEntry',
+		key: 'target',
+		columns: ['target', 'service', 'availabilityZone', 'state', 'role', 'running', 'waiting', 'freePieces', 'isLeaving'],
+	},
+	instances: {
+		scope: 'everyEntry', key: 'instance', columns: ['instance', 'kind', 'availabilityZone', 'address', 'revision'],
+	},
+	customers: {scope: 'oneEntry', columns: ['customer', 'keys', 'weight', 'requestsPerSecond', 'tokensPerSecond', 'operator', 'services']},
+	keys: {scope: 'oneEntry', columns: ['key', 'customer']},
+	services: {scope: 'oneEntry', columns: ['service', 'kind', 'models', 'routes', 'firstTokenGoalMs', 'betweenTokensGoalMs', 'targets']},
+	models: {scope: 'oneEntry', columns: ['model', 'service', 'targets']},
+	requests: {scope: 'everyEntry', key: 'request', columns: ['request', 'entry', 'customer', 'service', 'state', 'ageMs', 'attempts', 'target']},
+	duties: {scope: 'everyEntry', key: 'duty', columns: ['duty', 'holder', 'epoch']},
+	events: {scope: 'everyEntry', columns: ['at', 'instance', 'event', 'subject', 'detail']},
+	quarantine: {scope: 'everyEntry', key: 'fingerprint', columns: ['fingerprint', 'entry', 'crashes']},
+	usage: {scope: 'store', columns: USAGE_COLUMNS},
+	cost: {scope: 'store', columns: ['customer', 'service', 'targetHours', 'cost']},
+} as const satisfies Readonly<Record<string, QuerySource>>;
+
+/** Name of a source. */
+export type QuerySourceName = keyof typeof QUERY_SOURCES;
+
+type StateSourceName = Exclude<QuerySourceName, 'usage' | 'cost' | 'events' | 'quarantine'>;
+
+const ROW_READERS: Readonly<Record<StateSourceName, (state: EntryState, nowMs: number) => QueryRow[]>> = {
+	targets: ({membership}) => [...membership.targets.values()].map(target => ({
+		target: target.targetId,
+		service: target.serviceId,
+		availabilityZone: target.availabilityZone,
+		state: target.load?.state ?? 'unknown',
+		role: target.load?.role ?? 'unknown',
+		running: target.load?.running ?? 0,
+		waiting: target.load?.waiting ?? 0,
+		freePieces: target.load?.freePieces ?? 0,
+		isLeaving: target.isLeaving,
+	})),
+
+	instances: ({instanceId, availabilityZone, configuration, membership}) => [
+		{
+			instance: instanceId, kind: 'entry', availabilityZone, address: '', revision: configuration.revision,
+		},
+		...[...membership.targets.values()].map(target => ({
+			instance: target.targetId, kind: 'target', availabilityZone: target.availabilityZone, address: target.address, revision: 0,
+		})),
+	],
+
+	customers: ({configuration}) => [...configuration.customers.values()].map(customer => ({
+		customer: customer.customerId,
+		keys: customer.keyHashes.length,
+		weight: customer.weight,
+		requestsPerSecond: customer.requestsPerSecond ?? '',
+		tokensPerSecond: customer.tokensPerSecond ?? '',
+		operator: customer.operator,
+		services: customer.services?.join(' ') ?? 'all',
+	})),
+
+	keys: ({configuration}) => [...configuration.customerIdByKeyHash].map(([keyHash, customerId]) => ({
+		key: toKeyName(keyHash), customer: customerId,
+	})),
+
+	services: ({configuration, membership}) => [...configuration.services.values()].map(service => ({
+		service: service.serviceId,
+		kind: service.kind,
+		models: service.models.length,
+		routes: service.routes.map(({method, path}) => `${method} ${path}`).join(', '),
+		firstTokenGoalMs: service.firstTokenGoalMs,
+		betweenTokensGoalMs: service.betweenTokensGoalMs,
+		targets: [...membership.targets.values()].filter(({serviceId}) => serviceId === service.serviceId).length,
+	})),
+
+	models: ({configuration, membership}) => [...configuration.services.values()].flatMap(service => service.models.map(model => ({
+		model,
+		service: service.serviceId,
+		targets: [...membership.targets.values()].filter(({load}) => load?.models.includes(model)).length,
+	}))),
+
+	requests: ({instanceId, requests}, nowMs) => [...requests.values()].map(record => ({
+		request: record.facts.requestId,
+		entry: instanceId,
+		customer: record.customerId,
+		service: record.service.serviceId,
+		state: String(record.snapshot.value),
+		ageMs: Math.round(nowMs - record.receivedAtMs),
+		attempts: record.attemptCount,
+		target: record.attempt?.targetId ?? '',
+	})),
+
+	duties: ({instanceId, lease}, nowMs) => [...lease.duties.values()]
+		.filter(({held}) => held !== undefined && nowMs < held.expiresAtMs)
+		.map(({name, held}) => ({duty: name, holder: instanceId, epoch: held?.epoch ?? 0})),
+};
+
+/**
+ * Reads the rows that this entry's own state has of a source.
+ *
+ * @param state - state of the entry
+ * @param source - name of the source
+ * @param nowMs - present time
+ * @returns its rows; none for a source that is kept elsewhere
+ */
+export function listStateRows(state: EntryState, source: QuerySourceName, nowMs: number): QueryRow[] {
+	const read = (ROW_READERS as Readonly<Partial<Record<QuerySourceName, typeof ROW_READERS.targets>>>)[source];
+	return read?.(state, nowMs) ?? [];
+}
+
+/**
+ * Joins rows of several entries.
+ *
+ * @param source - name of the source
+ * @param parts - rows of each entry, one's own first
+ * @returns all rows, each thing once
+ */
+export function mergeQueryRows(source: QuerySourceName, parts: ReadonlyArray<readonly QueryRow[]>): QueryRow[] {
+	const {key} = QUERY_SOURCES[source] as QuerySource;
+	if (key === undefined) {
+		return parts.flat();
+	}
+
+	const rows = new Map<unknown, QueryRow>();
+	for (const row of parts.flat()) {
+		if (!rows.has(row[key])) {
+			rows.set(row[key], row);
+		}
+	}
+
+	return [...rows.values()];
+}
+
+/**
+ * Names a key without telling it.
+ *
+ * @param keyHash - digest of the key
+ * @returns the first digits of the digest, by which operators name the key
+ */
+export function toKeyName(keyHash: string): string {
+	return keyHash.slice(0, 12);
+}
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -84,9 +84,12 @@
 /** A call of usage ended. */
 export type UsageReplied = Timed<'usage.replied', {readonly callId: string; readonly reply: UsageReply}>;
 
+/** An operator wants a target drained and stopped. */
+export type TargetDrainRequested = Timed<'target.drainRequested', {readonly targetId: string}>;
+
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
-		| InstancesListed | LoadReported | Tick | StopRequested
+		| InstancesListed | LoadReported | Tick | StopRequested | TargetDrainRequested
 		| UsageStarted | UsageEnded | UsageFlushDue | UsageSealDue | UsageReplied
 		| ConfigurationEvent | LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,4 +1,5 @@
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
+import {drainHandlers} from '../fleet/drainHandlers.js';
 import {fleetHandlers} from '../fleet/fleetHandlers.js';
 import {leaseHandlers} from '../lease/leaseHandlers.js';
 import {spreadHandlers} from '../configuration/spreadHandlers.js';
@@ -22,5 +23,6 @@
 		leaseHandlers,
 		fleetHandlers,
 		entryUsageHandlers,
+		drainHandlers,
 	],
 });
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -86,19 +86,19 @@
 		usagePart,
 		createInstancesPart(context),
 		createLoadPart(context),
-		createOperatorPart(context),
+		createOperatorPart(context, decisionPart),
 	];
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
 		state: createEntryState({...settings, processId: randomUUID()}),
 		reduce: reduceEntry,
-		effectHandlers: {
+		effectHandlers: decisionPart.observe({
 			...requestPart.effectHandlers,
 			...decisionPart.effectHandlers,
 			...configurationPart.effectHandlers,
 			...leasePart.effectHandlers,
 			...fleetPart.effectHandlers,
 			...usagePart.effectHandlers,
-		},
+		}),
 	});
 
 	const answerOperations = createOperationsHandler({
--- a/packages/daemon/src/entry/createOperatorPart.ts
+++ b/packages/daemon/src/entry/createOperatorPart.ts
@@ -1,58 +1,206 @@
-import {type EntryState} from '@damaskspool/core';
+import {randomUUID} from 'node:crypto';
+import {
+	listStateRows, mayDrain, mergeQueryRows, planCommand, QUERY_SOURCES, type QuerySourceName, runQuery,
+} from '@damaskspool/core';
 import {type RpcContext} from '@damaskspool/runtime';
-import {hashText} from '@damaskspool/shared';
+import {
+	type CommandStatement, commandStatementSchema, type ConfigurationDocument, hashText, type QueryReply, type QueryRow,
+	queryStatementSchema,
+} from '@damaskspool/shared';
 import {z} from 'zod';
+import {type DecisionPart} from './createDecisionPart.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
+import {readUsageRows, type SealedUsageRow} from './readUsageRows.js';
 
-/** One row of a query's reply: plain values by column. */
-export type QueryRow = Readonly<Record<string, string | number | boolean>>;
-
-const queryParametersSchema = z.strictObject({source: z.string()});
-
-/** Rows by the name after `query`. */
-const SOURCES: Readonly<Record<string, (state: EntryState) => QueryRow[]>> = {
-	targets: state => [...state.membership.targets.values()].map(target => ({
-		target: target.targetId,
-		service: target.serviceId,
-		availabilityZone: target.availabilityZone,
-		state: target.load?.state ?? 'unknown',
-		role: target.load?.role ?? 'unknown',
-		running: target.load?.running ?? 0,
-		waiting: target.load?.waiting ?? 0,
-		freePieces: target.load?.freePieces ?? 0,
-	})),
+const MILLISECONDS_PER_HOUR = 3_600_000;
+
+const sourceSchema = z.enum(Object.keys(QUERY_SOURCES) as [QuerySourceName, ...QuerySourceName[]]);
+const queryParametersSchema = z.strictObject({query: queryStatementSchema});
+const rowsParametersSchema = z.strictObject({source: sourceSchema});
+const changeParametersSchema = z.strictObject({
+	command: commandStatementSchema,
+	isDryRun: z.boolean(),
+	/** Same for every try of one change, so that it is accepted once. */
+	changeId: z.string().max(40).default(() => randomUUID()),
+});
+const drainParametersSchema = z.strictObject({targetId: z.string()});
+const drainReplySchema = z.object({isOrdered: z.boolean()});
+const rowsSchema = z.array(z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])));
+
+/** What became of a command. */
+export type ChangeReply = {
+	readonly preview: readonly string[];
+	/** Revision under which the change was accepted; undefined for a dry run or an order. */
+	readonly revision: number | undefined;
 };
 
 /**
  * Creates the part of an entry that answers operators.
  *
  * @param context - what the entry shares among its parts
+ * @param decisions - the part that remembers decisions
  * @returns the part
  */
-export function createOperatorPart({readState}: EntryContext): EntryPart {
+export function createOperatorPart(context: EntryContext, decisions: Pick<DecisionPart, 'listRows' | 'record'>): EntryPart {
+	const {readState, readClock, rpc, proposeChange, dispatch, settings} = context;
+
+	const listOwnRows = (source: QuerySourceName): QueryRow[] =>
+		source === 'events' ? decisions.listRows() : listStateRows(readState(), source, readClock());
+
+	const askPeers = async (method: string, parameters: unknown, authorization: string | undefined) => {
+		const peers = [...readState().membership.peers.values()];
+		return Promise.all(peers.map(async ({instanceId, address}) => ({
+			instanceId, reply: await rpc.call(address, method, parameters, authorization),
+		})));
+	};
+
+	const readStoredRows = async (source: QuerySourceName): Promise<QueryRow[]> => {
+		const rows = await readUsageRows(context);
+		if (rows === undefined) {
+			throw new Error('the object API of the platform does not answer, and keeps what was asked for');
+		}
+
+		return source === 'usage' ? rows.map(row => toUsageQueryRow(row)) : toCostRows(rows, settings.targetPricePerHour);
+	};
+
+	const gatherRows = async (source: QuerySourceName, authorization: string | undefined): Promise<QueryReply> => {
+		const {scope} = QUERY_SOURCES[source];
+		if (scope === 'store') {
+			return {rows: await readStoredRows(source), missing: []};
+		}
+
+		const own = listOwnRows(source);
+		if (scope === 'oneEntry') {
+			return {rows: own, missing: []};
+		}
+
+		const missing: string[] = [];
+		const parts: QueryRow[][] = [own];
+		for (const {instanceId, reply} of await askPeers('operator.rows', {source}, authorization)) {
+			const rows = reply.ok ? rowsSchema.safeParse(reply.val).data : undefined;
+			if (rows === undefined) {
+				missing.push(instanceId);
+			} else {
+				parts.push(rows);
+			}
+		}
+
+		return {rows: mergeQueryRows(source, parts), missing};
+	};
+
+	const drainTarget = async (targetId: string, authorization: string | undefined): Promise<ChangeReply> => {
+		if (!readState().membership.targets.has(targetId)) {
+			throw new Error(`there is no target "${targetId}"`);
+		}
+
+		const isOwn = mayDrain(readState(), targetId, readClock());
+		if (isOwn) {
+			dispatch({type: 'target.drainRequested', targetId});
+		}
+
+		const others = isOwn ? [] : await askPeers('operator.drainTarget', {targetId}, authorization);
+		if (!isOwn && !others.some(({reply}) => reply.ok && drainReplySchema.safeParse(reply.val).data?.isOrdered)) {
+			throw new Error('no entry holds the duty for the target\'s availability zone now; nothing was ordered');
+		}
+
+		return {preview: [`- target ${targetId} takes new work`], revision: undefined};
+	};
+
 	return {
 		effectHandlers: {},
 		rpcMethods: {
-			'operator.query'(parameters, context) {
-				assertOperator(readState(), context);
-				const {source} = queryParametersSchema.parse(parameters);
-				const list = SOURCES[source];
-				if (list === undefined) {
-					throw new Error(`unknown source "${source}", expected one of ${Object.keys(SOURCES).join(', ')}`);
+			async 'operator.query'(parameters, rpcContext) {
+				assertOperator(context, rpcContext);
+				const {query} = queryParametersSchema.parse(parameters);
+				const {rows, missing} = await gatherRows(sourceSchema.parse(query.source), rpcContext.authorization);
+				return {rows: runQuery(rows, query), missing};
+			},
+			'operator.rows'(parameters, rpcContext) {
+				assertOperator(context, rpcContext);
+				return listOwnRows(rowsParametersSchema.parse(parameters).source);
+			},
+			'operator.drainTarget'(parameters, rpcContext) {
+				assertOperator(context, rpcContext);
+				const {targetId} = drainParametersSchema.parse(parameters);
+				const isOrdered = mayDrain(readState(), targetId, readClock());
+				if (isOrdered) {
+					dispatch({type: 'target.drainRequested', targetId});
 				}
 
-				return {rows: list(readState())};
+				return {isOrdered};
+			},
+			async 'operator.change'(parameters, rpcContext): Promise<ChangeReply> {
+				const operatorId = assertOperator(context, rpcContext);
+				const {command, isDryRun, changeId} = changeParametersSchema.parse(parameters);
+				if (command.thing === 'target') {
+					return isDryRun
+						? {preview: [`- target ${command.name} takes new work`], revision: undefined}
+						: drainTarget(command.name, rpcContext.authorization);
+				}
+
+				const plan = planCommand(readDocument(context), command);
+				if (plan.err) {
+					throw new Error(plan.val.message);
+				}
+
+				const {edits, preview} = plan.val;
+				if (isDryRun) {
+					return {preview, revision: undefined};
+				}
+
+				const accepted = await proposeChange({changeId: `${operatorId.slice(0, 20)}:${changeId}`, edits: [...edits]});
+				if (accepted.err) {
+					throw new Error(accepted.val.message);
+				}
+
+				const {revision} = accepted.val;
+				decisions.record('operator.changed', command.name, {
+					operatorId, revision, command: formatCommand(command),
+				});
+				return {preview, revision};
 			},
 		},
 	};
 }
 
-/** Refuses a caller whose key is not that of an operator. */
-function assertOperator(state: EntryState, context: RpcContext): void {
-	const key = /^Bearer (?<key>\S+)$/v.exec(context.authorization ?? '')?.groups?.key;
-	const customerId = key === undefined ? undefined : state.configuration.customerIdByKeyHash.get(hashText(key));
-	const customer = customerId === undefined ? undefined : state.configuration.customers.get(customerId);
+function formatCommand({verb, thing, owner}: CommandStatement): string {
+	return [verb, thing, ...(owner === undefined ? [] : ['of', owner])].join(' ');
+}
+
+function readDocument({readState}: EntryContext): ConfigurationDocument {
+	const {services, customers} = readState().configuration;
+	return {services: [...services.values()], customers: [...customers.values()]};
+}
+
+function toUsageQueryRow({customerId, serviceId, window, servedIn, ...counts}: SealedUsageRow): QueryRow {
+	return {
+		window: new Date(window).toISOString(), servedIn: new Date(servedIn).toISOString(), customer: customerId, service: serviceId, ...counts,
+	};
+}
+
+/** What the targets' time for each customer and service cost. */
+function toCostRows(rows: readonly SealedUsageRow[], pricePerHour: number): QueryRow[] {
+	const hours = new Map<string, QueryRow>();
+	for (const {customerId, serviceId, targetMs} of rows) {
+		const key = `${customerId} ${serviceId}`;
+		const targetHours = Number(hours.get(key)?.targetHours ?? 0) + (targetMs / MILLISECONDS_PER_HOUR);
+		hours.set(key, {
+			customer: customerId, service: serviceId, targetHours, cost: targetHours * pricePerHour,
+		});
+	}
+
+	return [...hours.values()];
+}
+
+/** Refuses a caller whose key is not that of an operator; tells which operator it is. */
+function assertOperator({readState}: EntryContext, rpcContext: RpcContext): string {
+	const {configuration} = readState();
+	const key = /^Bearer (?<key>\S+)$/v.exec(rpcContext.authorization ?? '')?.groups?.key;
+	const customerId = key === undefined ? undefined : configuration.customerIdByKeyHash.get(hashText(key));
+	const customer = customerId === undefined ? undefined : configuration.customers.get(customerId);
 	if (customer?.operator !== true) {
 		throw new Error('an operator\'s key is needed');
 	}
+
+	return customer.customerId;
 }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -30,6 +30,8 @@
 	usageWindow: durationSchema.default(15 * MINUTE_MS),
 	/** Wait after a window's end for usage that is still on its way. */
 	usageGrace: durationSchema.default(3 * MINUTE_MS),
+	/** Price of a target for an hour, in whatever currency reports are read. */
+	targetPricePerHour: z.number().nonnegative().default(1),
 	/** Time between writes of metered usage: what is lost where an entry and a sidecar are lost together. */
 	usageFlushInterval: durationSchema.default(MINUTE_MS),
 	/** Time between reads of configuration and instance list. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -14,3 +14,4 @@
 export * from './results.js';
 export * from './units.js';
 export * from './usageDocuments.js';
+export * from './statement.js';
