Bound retries by a budget, ramp failed targets, leave faulty zones and silent sidecars

Retries were bounded by a count for each request alone, so that a fault of many targets multiplied the load by up to four; a target that came back was given everything at once, being the emptiest; a sidecar that stood still held its requests until their deadline. Retries of a service are now at most a fifth of its recent successes beyond an allowance of 32, a failed target is given 2 attempts at once and twice as many each time that so many answered, a retry leaves a zone of which half the targets fail, and a repeatable attempt is given up after 5 s without a report of its sidecar, unless the entry itself was paused. A stream's place is counted before any wait, so that an attempt that follows sends nothing twice. Refusals say when to come back.

Properties: with every target failing, 500 requests in 6 s make at most 564 attempts.

--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -6,6 +6,7 @@
 import {createMembershipState, type MembershipState} from '../membership/membershipState.js';
 import {type PlanZone} from '../planning/zonePlan.js';
 import {type RequestRecord} from '../request/requestRecord.js';
+import {createRetryState, type RetryState} from '../retries/retryState.js';
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
 import {createEntryUsageState, type EntryUsageState} from '../usage/entryUsage.js';
 import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealer.js';
@@ -26,6 +27,7 @@
 	spread: SpreadState;
 	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
+	retries: RetryState;
 	lease: LeaseState;
 	fleet: FleetState;
 	usage: EntryUsageState;
@@ -67,6 +69,7 @@
 		spread: createSpreadState(options),
 		routing: createRoutingState(options.routingPolicy),
 		requests: new Map(),
+		retries: createRetryState(),
 		lease: createLeaseState({
 			instanceId, processId, availabilityZone, region,
 		}),
--- a/packages/core/src/request/requestHandlers.ts
+++ b/packages/core/src/request/requestHandlers.ts
@@ -1,27 +1,26 @@
 import {
 	createFailure, ERROR_CODES, type Failure, OUTCOMES,
 } from '@damaskspool/shared';
-import {type ResolvedRoute, resolveRoute} from '../configuration/configurationState.js';
-import {hasPeers} from '../configuration/spreadHandlers.js';
-import {isKeySetSure} from '../keys/keyFreshness.js';
 import {mergeLoadReport, recordTargetFailure, recordTargetSuccess} from '../membership/membershipState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type EntryEffect} from '../reducer/entryEffects.js';
-import {type EntryEvent, type RequestFacts} from '../reducer/entryEvents.js';
+import {type EntryEvent} from '../reducer/entryEvents.js';
 import {type EntryState} from '../reducer/entryState.js';
-import {chooseTarget, recordChoice} from '../routing/chooseTarget.js';
-import {toRoutingDemand} from '../routing/routingDemand.js';
+import {applyRetry, recordSuccess} from '../retries/retryBudget.js';
+import {isSilent, recordTick} from '../retries/retryState.js';
+import {recordRampAnswer, recordRampFailure} from '../retries/targetRamps.js';
+import {recordChoice} from '../routing/chooseTarget.js';
+import {admitRequest} from './admitRequest.js';
 import {type RequestMachineState} from './requestMachine.js';
 import {
 	advanceRequest, type Attempt, createRequestRecord, type RequestRecord,
 } from './requestRecord.js';
+import {selectTarget} from './selectTarget.js';
 
 /** Most attempts of one request, whatever its budget. */
 const ATTEMPT_LIMIT = 4;
-/** Customer under whom requests on open routes are counted. */
-export const ANONYMOUS_CUSTOMER_ID = 'anonymous';
-
-type Admission = ResolvedRoute & {readonly customerId: string};
+/** Time after which a caller may try again what no target could take; failed targets are tried again sooner. */
+const RETRY_AFTER_MS = 1000;
 
 /** Handlers of a request's life at its entry. */
 export const requestHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
@@ -48,6 +47,7 @@
 
 		settlePrompt(state, found.record, found.attempt);
 		found.attempt.isAnswered = true;
+		recordRampAnswer(state.retries.ramps, found.attempt.targetId);
 		advanceRequest(found.record, {type: 'answer'});
 		return [];
 	},
@@ -64,6 +64,7 @@
 			recordTargetSuccess(target);
 		}
 
+		recordSuccess(state.retries.budgets, found.record.service.serviceId, event.nowMs);
 		const requestState = advanceRequest(found.record, {type: 'finish'});
 		return closeRequest(state, found.record, requestState, undefined);
 	},
@@ -78,19 +79,7 @@
 			return [];
 		}
 
-		endAttempt(state, found.record);
-		const target = state.membership.targets.get(found.attempt.targetId);
-		if (target !== undefined && event.isTargetFault) {
-			recordTargetFailure(target, event.nowMs);
-		}
-
-		const type = event.failure.outcome === OUTCOMES.refusedNotRun ? 'failNotRun' : 'failUnknown';
-		const requestState = advanceRequest(found.record, {type});
-		if (requestState === 'choosing' || requestState === 'retrying') {
-			return sendNextAttempt(state, found.record, event.nowMs, event.failure);
-		}
-
-		return closeRequest(state, found.record, requestState, event.failure);
+		return failAttempt(state, found.record, event);
 	},
 
 	'caller.left'(state, {requestId}) {
@@ -106,8 +95,14 @@
 	},
 
 	tick(state, {nowMs}) {
-		const expired = [...state.requests.values()].filter(record => record.deadlineAtMs <= nowMs);
-		return expired.flatMap(record => expireRequest(state, record));
+		recordTick(state.retries, nowMs);
+		const records = [...state.requests.values()];
+		const expired = records.filter(record => record.deadlineAtMs <= nowMs);
+		const silent = records.filter(record => record.deadlineAtMs > nowMs && isAttemptSilent(state, record, nowMs));
+		return [
+			...expired.flatMap(record => expireRequest(state, record)),
+			...silent.flatMap(record => giveUpAttempt(state, record, nowMs)),
+		];
 	},
 
 	'stop.requested'(state) {
@@ -116,72 +111,68 @@
 	},
 };
 
-/** Refuses a request whose deadline passed. An attempt that is under way may have run: its end is not waited for. */
-function expireRequest(state: EntryState, record: RequestRecord): readonly EntryEffect[] {
-	const {requestId} = record.facts;
-	const effects = cancelAttempt(state, record);
-	const isNotRun = record.snapshot.value === 'choosing';
-	const outcome = isNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
-	state.requests.delete(requestId);
-	return [
-		...effects,
-		{type: 'request.refuse', requestId, failure: createFailure(ERROR_CODES.deadlineExceeded, {outcome})},
-	];
-}
-
-/** Checks a request against the configuration in force. */
-function admitRequest(state: EntryState, facts: RequestFacts, nowMs: number): Admission | Failure {
-	if (state.isStopping) {
-		return createFailure(ERROR_CODES.leaving);
-	}
-
-	if (state.configuration.revision < 0) {
-		return createFailure(ERROR_CODES.notReady, {retryAfterMs: 1000});
-	}
-
-	const resolved = resolveRoute(state.configuration, facts.method, facts.path, facts.modelId);
-	if (resolved === undefined) {
-		return createFailure(ERROR_CODES.routeUnknown);
-	}
-
-	if (resolved.route.access === 'keyed' && !isKeySetSure({...state.configuration, hasPeers: hasPeers(state)}, nowMs)) {
-		return createFailure(ERROR_CODES.keysStale, {retryAfterMs: 1000});
-	}
+/** How an attempt failed. */
+type AttemptFailure = {
+	readonly failure: Failure;
+	readonly isTargetFault: boolean;
+	readonly nowMs: number;
+};
 
-	const customerId = resolveCustomer(state, facts, resolved);
-	if (typeof customerId !== 'string') {
-		return customerId;
+/** Ends the attempt under way, and sends the next or refuses the request. */
+function failAttempt(state: EntryState, record: RequestRecord, {failure, isTargetFault, nowMs}: AttemptFailure): readonly EntryEffect[] {
+	const targetId = record.attempt?.targetId ?? '';
+	endAttempt(state, record);
+	const target = state.membership.targets.get(targetId);
+	if (target !== undefined && isTargetFault) {
+		recordTargetFailure(target, nowMs);
+		recordRampFailure(state.retries.ramps, targetId);
 	}
 
-	const {service, route} = resolved;
-	if (facts.bodyBytes > route.bodyLimitBytes) {
-		return createFailure(ERROR_CODES.bodyTooLarge);
-	}
+	const type = failure.outcome === OUTCOMES.refusedNotRun ? 'failNotRun' : 'failUnknown';
+	const requestState = advanceRequest(record, {type});
+	return requestState === 'choosing' || requestState === 'retrying'
+		? sendNextAttempt(state, record, nowMs, failure)
+		: closeRequest(state, record, requestState, failure);
+}
 
-	if (service.kind === 'model' && (facts.modelId === undefined || !service.models.includes(facts.modelId))) {
-		return createFailure(ERROR_CODES.modelUnknown);
+/**
+ * Whether the sidecar of a repeatable request's attempt has gone silent, so that
+ * another target is tried. A request that may not be repeated waits on: nothing
+ * would be won by giving it up.
+ */
+function isAttemptSilent(state: EntryState, {attempt, route}: RequestRecord, nowMs: number): boolean {
+	const target = attempt === undefined ? undefined : state.membership.targets.get(attempt.targetId);
+	if (attempt === undefined || target?.load === undefined || !route.repeatable) {
+		return false;
 	}
 
-	return {...resolved, customerId};
+	return isSilent(state.retries, Math.max(target.loadAtMs, attempt.sentAtMs), nowMs);
 }
 
-function resolveCustomer(state: EntryState, facts: RequestFacts, {service, route}: ResolvedRoute): string | Failure {
-	if (route.access === 'open') {
-		return ANONYMOUS_CUSTOMER_ID;
-	}
-
-	if (facts.keyHash === undefined) {
-		return createFailure(ERROR_CODES.keyMissing);
+function giveUpAttempt(state: EntryState, record: RequestRecord, nowMs: number): readonly EntryEffect[] {
+	const {attempt, facts: {requestId}} = record;
+	if (attempt === undefined) {
+		return [];
 	}
 
-	const customerId = state.configuration.customerIdByKeyHash.get(facts.keyHash);
-	const customer = customerId === undefined ? undefined : state.configuration.customers.get(customerId);
-	if (customer === undefined) {
-		return createFailure(ERROR_CODES.keyUnknown);
-	}
+	const failure = createFailure(ERROR_CODES.targetUnreachable, {outcome: OUTCOMES.refusedUnknown, detail: 'its sidecar is silent'});
+	return [
+		{type: 'attempt.cancel', requestId, attemptId: attempt.attemptId},
+		...failAttempt(state, record, {failure, isTargetFault: true, nowMs}),
+	];
+}
 
-	const maySee = customer.services === undefined || customer.services.includes(service.serviceId);
-	return maySee ? customer.customerId : createFailure(ERROR_CODES.routeUnknown);
+/** Refuses a request whose deadline passed. An attempt that is under way may have run: its end is not waited for. */
+function expireRequest(state: EntryState, record: RequestRecord): readonly EntryEffect[] {
+	const {requestId} = record.facts;
+	const effects = cancelAttempt(state, record);
+	const isNotRun = record.snapshot.value === 'choosing';
+	const outcome = isNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown;
+	state.requests.delete(requestId);
+	return [
+		...effects,
+		{type: 'request.refuse', requestId, failure: createFailure(ERROR_CODES.deadlineExceeded, {outcome})},
+	];
 }
 
 /** Sends the next attempt of a request in `choosing` or `retrying`, or refuses it where there can be none. */
@@ -193,23 +184,24 @@
 ): readonly EntryEffect[] {
 	const {facts, service} = record;
 	const {requestId} = facts;
-	const demand = toRoutingDemand(record);
-	const target = record.attemptCount < ATTEMPT_LIMIT && nowMs < record.deadlineAtMs
-		? chooseTarget({
-			...state, entryId: state.instanceId, nowMs, demand,
-		})
-		: undefined;
-	if (target === undefined) {
+	const mayAttempt = record.attemptCount < ATTEMPT_LIMIT && nowMs < record.deadlineAtMs;
+	const selected = mayAttempt ? selectTarget(state, record, nowMs) : undefined;
+	const isRetry = record.attemptCount > 0;
+	if (selected === undefined || (isRetry && !applyRetry(state.retries.budgets, service.serviceId, nowMs))) {
 		const requestState = advanceRequest(record, {type: 'exhaust'});
-		return closeRequest(state, record, requestState, lastFailure ?? createFailure(ERROR_CODES.noTarget));
+		const failure = lastFailure ?? createFailure(ERROR_CODES.noTarget);
+		return closeRequest(state, record, requestState, {retryAfterMs: RETRY_AFTER_MS, ...failure});
 	}
 
+	const {target, demand} = selected;
 	record.attemptCount += 1;
 	const attemptId = `${requestId}.${record.attemptCount}`;
 	const prefillTokens = recordChoice({
 		...state, requestId, attemptId, target, demand, nowMs,
 	});
-	record.attempt = {attemptId, targetId: target.targetId, isAnswered: false};
+	record.attempt = {
+		attemptId, targetId: target.targetId, sentAtMs: nowMs, isAnswered: false,
+	};
 	record.triedTargetIds.add(target.targetId);
 	target.inFlight += 1;
 	target.inFlightPromptTokens += facts.promptTokens;
--- a/packages/core/src/request/requestRecord.ts
+++ b/packages/core/src/request/requestRecord.ts
@@ -9,6 +9,7 @@
 export type Attempt = {
 	readonly attemptId: string;
 	readonly targetId: string;
+	readonly sentAtMs: number;
 	isAnswered: boolean;
 };
 
--- /dev/null
+++ b/packages/core/src/retries/__tests__/retries.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createFailure, ERROR_CODES, OUTCOMES} from '@damaskspool/shared';
+import fc from 'fast-check';
+import {type SendAttempt} from '../../reducer/entryEffects.js';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {type EntryState} from '../../reducer/entryState.js';
+import {createFacts, createReadyState, createTestTarget} from '../../request/__tests__/requestFixtures.js';
+import {applyRetry, recordSuccess, type RetryBudgets} from '../retryBudget.js';
+import {
+	listRampedOut, recordRampAnswer, recordRampFailure, type TargetRamps,
+} from '../targetRamps.js';
+
+const SEED = 20_261_204;
+const UNKNOWN = createFailure(ERROR_CODES.targetFailed, {outcome: OUTCOMES.refusedUnknown});
+
+function receive(state: EntryState, requestId: string, nowMs: number) {
+	return reduceEntry(state, {type: 'request.received', nowMs, facts: createFacts({requestId})});
+}
+
+function fail(state: EntryState, {requestId, attemptId}: SendAttempt, nowMs: number) {
+	return reduceEntry(state, {
+		type: 'attempt.failed', nowMs, requestId, attemptId, load: undefined, isTargetFault: true, failure: UNKNOWN,
+	});
+}
+
+describe('the retry budget', () => {
+	it('keeps retries to a fifth of recent successes, beyond a fixed allowance', () => {
+		const steps = fc.array(fc.tuple(fc.constantFrom('success', 'retry'), fc.nat(50)), {maxLength: 400});
+		fc.assert(fc.property(steps, list => {
+			const budgets: RetryBudgets = new Map();
+			let nowMs = 0;
+			let successes = 0;
+			let retries = 0;
+			for (const [step, gapMs] of list) {
+				nowMs += gapMs;
+				if (step === 'success') {
+					recordSuccess(budgets, 's', nowMs);
+					successes += 1;
+				} else if (applyRetry(budgets, 's', nowMs)) {
+					retries += 1;
+				}
+			}
+
+			// In the decay time the allowance comes back about once.
+			assert.ok(retries <= ((32 + (successes * 0.2)) * (1 + (nowMs / 10_000))) + 1);
+		}), {seed: SEED, numRuns: 200});
+	});
+
+	it('ends a storm: with every target failing, attempts soon are as many as requests', () => {
+		const state = createReadyState();
+		let attempts = 0;
+		for (let index = 0; index < 500; index += 1) {
+			const nowMs = 10_000 + (index * 6000 / 500);
+			// Targets are tried again at once here, so that the budget alone bounds the retries.
+			for (const target of state.membership.targets.values()) {
+				target.avoidUntilMs = 0;
+			}
+
+			state.retries.ramps.clear();
+			let effects = receive(state, `r${index}`, nowMs);
+			for (let effect = effects.at(-1); effect?.type === 'attempt.send'; effect = effects.at(-1)) {
+				attempts += 1;
+				for (const target of state.membership.targets.values()) {
+					target.avoidUntilMs = 0;
+				}
+
+				state.retries.ramps.clear();
+				effects = fail(state, effect, nowMs);
+			}
+
+			assert.equal(effects.at(-1)?.type, 'request.refuse');
+		}
+
+		assert.ok(attempts <= 500 + (32 * 2), `${attempts} attempts of 500 requests`);
+	});
+
+	it('tells a caller whose request is given up when to come back', () => {
+		const state = createReadyState();
+		reduceEntry(state, {type: 'instances.listed', nowMs: 1, instances: []});
+		const [effect] = receive(state, 'r', 2);
+		assert.ok(effect?.type === 'request.refuse' && effect.failure.retryAfterMs !== undefined);
+		assert.equal(effect.failure.outcome, OUTCOMES.refusedNotRun);
+	});
+});
+
+describe('a target that failed', () => {
+	it('comes back by a few attempts at once, and more as they answer', () => {
+		const ramps: TargetRamps = new Map();
+		recordRampFailure(ramps, 't');
+		assert.deepEqual(listRampedOut(ramps, () => 2), ['t']);
+		for (const limit of [2, 4, 8, 16, 32]) {
+			assert.deepEqual(listRampedOut(ramps, () => limit - 1), []);
+			assert.deepEqual(listRampedOut(ramps, () => limit), ['t']);
+			for (let answer = 0; answer < limit; answer += 1) {
+				recordRampAnswer(ramps, 't');
+			}
+		}
+
+		assert.deepEqual(listRampedOut(ramps, () => 1000), []);
+	});
+
+	it('beside others of its zone has retries go to another zone', () => {
+		const instances = ['a', 'a', 'a', 'b', 'b'].map((availabilityZone, index) =>
+			({...createTestTarget(`t${index}`, 'assistant'), availabilityZone}));
+		for (let index = 0; index < 20; index += 1) {
+			const state = createReadyState();
+			reduceEntry(state, {type: 'instances.listed', nowMs: 1, instances});
+			for (const targetId of ['t0', 't1']) {
+				state.membership.targets.get(targetId)!.failuresInRow = 1;
+			}
+
+			const [first] = receive(state, `r${index}`, 10);
+			assert.ok(first?.type === 'attempt.send');
+			const retry = fail(state, first, 10).at(-1);
+			assert.ok(retry?.type === 'attempt.send');
+			assert.ok(['t3', 't4'].includes(retry.targetId));
+		}
+	});
+
+	it('is given up when its sidecar is silent, but not for a pause of the entry itself', () => {
+		const load = {
+			targetId: 'assistant-1', role: 'mixed', state: 'serving', models: ['m'], running: 0, waiting: 0, queuedPrefillTokens: 0,
+			freePieces: 0, totalPieces: 0, prefillTokensTotal: 0, generatedTokensTotal: 0, ageMs: 0,
+		} as const;
+		const run = (ticks: readonly number[]) => {
+			const state = createReadyState();
+			for (const targetId of ['assistant-1', 'assistant-2', 'assistant-3']) {
+				reduceEntry(state, {type: 'load.reported', nowMs: 100, load: {...load, models: ['m'], targetId}});
+			}
+
+			receive(state, 'r', 100);
+			return ticks
+				.flatMap(nowMs => reduceEntry(state, {type: 'tick', nowMs}))
+				.map(({type}) => type)
+				.filter(type => type.startsWith('attempt.'));
+		};
+
+		const steady = run(Array.from({length: 70}, (_, index) => 100 + (index * 100)));
+		assert.deepEqual(steady.slice(0, 2), ['attempt.cancel', 'attempt.send']);
+		assert.deepEqual(run([100, 200, 7000]), []);
+	});
+});
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -146,7 +146,7 @@
 	return {type: 'finished', generatedTokens: parseGeneratedTokens(whole.val)};
 }
 
-async function passStreamOn({answer, progress, meter}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
+async function passStreamOn({answer, progress, meter, signal}: SendAttemptOptions, body: Readable): Promise<AttemptEnd> {
 	const events = splitServerSentEvents(body);
 	try {
 		for (;;) {
@@ -160,17 +160,22 @@
 				return createFailedEnd(ERROR_CODES.answerMalformed, {detail: 'an event of the stream is missing or doubled'});
 			}
 
-			meter.add(event.bytes);
-			await answer.sendEvent(event.bytes);
-			if (event.data === STREAM_END) {
-				await endBody(events, body);
-				return {type: 'finished', generatedTokens: progress.generatedTokens};
+			if (signal.aborted) {
+				return createFailedEnd(ERROR_CODES.targetUnreachable, {detail: 'given up'});
 			}
 
+			meter.add(event.bytes);
+			// Counted before any wait: an attempt that follows meanwhile must not send the event again.
 			if (event.id !== undefined) {
 				progress.lastEventId = event.id;
 				progress.generatedTokens += 1;
 			}
+
+			await answer.sendEvent(event.bytes);
+			if (event.data === STREAM_END) {
+				await endBody(events, body);
+				return {type: 'finished', generatedTokens: progress.generatedTokens};
+			}
 		}
 	} catch (error) {
 		const code = error instanceof MalformedStreamError ? ERROR_CODES.answerMalformed : ERROR_CODES.targetFailed;
