Let the race of operators be judged by its result, not by a call's time

Cause: the test bounded each call of the object API at 300 ms. With four test files at once on a busy machine one answer came later, was taken for a lost one, and the verdict changed.

Change: the bound is 10 s; lost and cut calls are broken connections in these tests and need no time-out. No assertion changes.

--- a/packages/bench/src/__tests__/proposeChange.test.ts
+++ b/packages/bench/src/__tests__/proposeChange.test.ts
@@ -11,6 +11,8 @@
 
 const OPERATORS = 4;
 const CHANGES_EACH = 5;
+/** Bound of a call; a machine that is busy must not turn a slow answer into a lost one. */
+const CALL_TIMEOUT_MS = 10_000;
 
 function createDocument(): ConfigurationDocument {
 	return {services: [], customers: []};
@@ -21,7 +23,7 @@
 	const platform = await createPlatform();
 	writeFirstConfiguration(platform, createDocument());
 	const proxy = await createFaultProxy(platform.address);
-	const clients = Array.from({length: OPERATORS}, () => createObjectApiClient({address: proxy.address, callTimeoutMs: 300}));
+	const clients = Array.from({length: OPERATORS}, () => createObjectApiClient({address: proxy.address, callTimeoutMs: CALL_TIMEOUT_MS}));
 	const onUpdate = () => undefined;
 	const stores = clients.map(objectApi => createConfigurationStore({objectApi, readCopy: createConfigurationCopy, onUpdate}));
 	return {
