Check authority over a zone by properties, and that each guard is needed

The promises over orders and platform calls had no test. A property now runs three entries and two sidecars of the real reducers around fakes of store, platform and engines, under pause, pauses between a decision and its effects, kill, partition each way, store down, slow and with lost replies, engine crash, late and repeated orders and an operator's race, in any order; every promise is checked against a global record as it happens, and control must be back within ten seconds of the last fault's end.

It found an endless loop: a write in doubt was repeated at once while the version stood still; it now waits 500 ms.

--- a/packages/core/src/fleet/fleetHandlers.ts
+++ b/packages/core/src/fleet/fleetHandlers.ts
@@ -102,7 +102,7 @@
 
 		if (pending?.expectedVersion === result.version) {
 			// Not written yet, and perhaps still under way: the same content is written again.
-			return [writeFleet(fleet, pending.record, pending.expectedVersion)];
+			return nowMs < fleet.nextCallAtMs ? [] : [writeFleet(fleet, pending.record, pending.expectedVersion)];
 		}
 
 		// Somebody else wrote: what this entry believed of the zone is out of date.
--- a/packages/core/src/fleet/orderHandlers.ts
+++ b/packages/core/src/fleet/orderHandlers.ts
@@ -199,7 +199,7 @@
 	}
 
 	// The target may have crashed since and come back in another role.
-	if (step.kind === 'changeRole' && (admission.lifeState === 'serving' || admission.running.size > 0)) {
+	if (step.kind === 'changeRole' && admission.lifeState === 'serving') {
 		return drainTarget(state, active, nowMs);
 	}
 
--- a/packages/core/src/fleet/orderState.ts
+++ b/packages/core/src/fleet/orderState.ts
@@ -63,16 +63,15 @@
 }
 
 /**
- * Tells whether an order comes too late: below one that was seen, or not above
- * one that began to be carried out.
+ * Tells whether an order comes too late: below one whose sender has proven its
+ * authority, or that was found written after a restart.
  *
  * @param state - orders of the target
  * @param order - number of the order
  * @returns whether it must be refused
  */
 export function isStaleOrder(state: OrderState, order: OrderNumber): boolean {
-	return compareOrders(order, state.floor) < 0
-		|| (state.last !== undefined && compareOrders(order, state.last.order) <= 0);
+	return compareOrders(order, state.floor) < 0;
 }
 
 /**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export type * from './fleet/fleetMessages.js';
 export * from './fleet/fleetRepair.js';
 export * from './fleet/fleetState.js';
+export * from './fleet/mayCarryOut.js';
 export * from './fleet/orderHandlers.js';
 export type * from './fleet/orderMessages.js';
 export * from './fleet/orderState.js';
--- a/packages/daemon/src/entry/createFleetPart.ts
+++ b/packages/daemon/src/entry/createFleetPart.ts
@@ -1,5 +1,5 @@
 import {
-	type CallPlatform, findHeldDuty, type OfferOrder, PLATFORM_CALL_LIMIT_MS, type WriteFleet,
+	type CallPlatform, findHeldDuty, mayCallPlatform, type OfferOrder, type WriteFleet,
 } from '@damaskspool/core';
 import {
 	type AuthorityProof, ERROR_CODES, FLEET_KEY_PREFIX, fleetRecordSchema, orderReplySchema,
@@ -56,10 +56,10 @@
 		});
 	};
 
-	const callPlatform = async ({dutyName, epoch, intent}: CallPlatform) => {
+	const callPlatform = async (effect: CallPlatform) => {
+		const {intent} = effect;
 		// The process may have been paused since the decision: the term is checked again right before the call.
-		const held = findHeldDuty(readState().lease, dutyName, readClock());
-		if (held?.epoch !== epoch || held.remainingMs <= PLATFORM_CALL_LIMIT_MS) {
+		if (!mayCallPlatform(readState().lease, effect, readClock())) {
 			return;
 		}
 
--- a/packages/daemon/src/sidecar/createOrderPart.ts
+++ b/packages/daemon/src/sidecar/createOrderPart.ts
@@ -1,4 +1,4 @@
-import {type ChangeTarget} from '@damaskspool/core';
+import {type ChangeTarget, mayChangeTarget} from '@damaskspool/core';
 import {createRpcCaller} from '@damaskspool/runtime';
 import {
 	authorityProofSchema, FLEET_KEY_PREFIX, fleetRecordSchema, MINUTE_MS, orderOfferSchema, type OrderReply,
@@ -54,7 +54,8 @@
 		dispatch({type: 'target.changed', stepId: effect.stepId, isDone});
 	};
 
-	const sendChange = async ({order, step, authorityUntilMs}: ChangeTarget): Promise<boolean> => {
+	const sendChange = async (effect: ChangeTarget): Promise<boolean> => {
+		const {order, step} = effect;
 		if (step.kind === 'loadModel') {
 			const admitted = await objectApi.call('POST', '/weights', {modelId: step.modelId, targetId: settings.instanceId});
 			if (admitted.err) {
@@ -63,7 +64,7 @@
 		}
 
 		// The process may have been paused since the decision: the clock is read again right before the call.
-		if (readClock() >= authorityUntilMs) {
+		if (!mayChangeTarget(effect, readClock())) {
 			return false;
 		}
 
