--- /dev/null
+++ b/packages/cli/src/commands/BurnReportCommand.ts
@@ -0,0 +1,52 @@
+import {writeFile} from 'node:fs/promises';
+import {type BurnLine} from '@damaskspool/core';
+import {type QueryRow} from '@damaskspool/shared';
+import {Command, Option} from 'clipanion';
+import {EXIT_CODES} from '../exitCodes.js';
+import {type BurnReply, formatBurnPage} from '../output/formatBurnPage.js';
+import {OperatorCommand} from './OperatorCommand.js';
+
+/** Reports how fast the service levels' error budgets are spent. */
+export class BurnReportCommand extends OperatorCommand {
+	static override paths = [['report', 'burn']];
+	static override usage = Command.Usage({
+		category: 'Reports',
+		description: 'How fast each service spends its error budget over a fast and a slow window, which customers spend it, and why.',
+		details: 'Customer * stands for all. A burn of 1 spends the budget exactly; above it, the budget does not last.',
+		examples: [['As a table', 'damaskspool report burn'], ['As a page', 'damaskspool report burn --html burn.html']],
+	});
+
+	page = Option.String('--html', {description: 'write a page with plots to this file'});
+
+	override async execute(): Promise<number> {
+		if (!this.hasEntry()) {
+			return EXIT_CODES.invalid;
+		}
+
+		const reply = await this.call('operator.burn', {});
+		if (reply.err) {
+			return this.writeFailure(reply.val);
+		}
+
+		const burn = reply.val as BurnReply;
+		if (this.page === undefined) {
+			this.writeRows(burn.lines.map(line => toRow(line)));
+		} else {
+			await writeFile(this.page, formatBurnPage(burn, new Date().toISOString()));
+			this.context.stdout.write(`${this.page}\n`);
+		}
+
+		if (burn.missing.length > 0) {
+			this.context.stderr.write(`without the part of ${burn.missing.join(', ')}, which did not answer\n`);
+			return EXIT_CODES.partial;
+		}
+
+		return EXIT_CODES.ok;
+	}
+}
+
+function toRow({service, customer, level, requests, bad, fastBurn, slowBurn, budgetLeft, share, why}: BurnLine): QueryRow {
+	return {
+		service, customer, level, requests, bad, fastBurn, slowBurn, budgetLeft, share, why,
+	};
+}
--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -1,4 +1,5 @@
 import {Builtins, Cli} from 'clipanion';
+import {BurnReportCommand} from './commands/BurnReportCommand.js';
 import {ChangeCommand} from './commands/ChangeCommand.js';
 import {CompletionCommand} from './commands/CompletionCommand.js';
 import {ConfigCheckCommand} from './commands/ConfigCheckCommand.js';
@@ -12,6 +13,7 @@
 	ChangeCommand,
 	ExplainCommand,
 	UsageReportCommand,
+	BurnReportCommand,
 	CompletionCommand,
 	Builtins.HelpCommand,
 	Builtins.VersionCommand,
--- /dev/null
+++ b/packages/core/src/burn/burnHandlers.ts
@@ -0,0 +1,115 @@
+import {ERROR_CODES} from '@damaskspool/shared';
+import {resolveRoute} from '../configuration/configurationState.js';
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {type EntryEffect} from '../reducer/entryEffects.js';
+import {type EntryEvent, type RequestReceived} from '../reducer/entryEvents.js';
+import {type EntryState} from '../reducer/entryState.js';
+import {
+	type BurnState, createBurnCounts, expireBurn, type MeasuredRequest, recordBurn,
+} from './burnState.js';
+
+/**
+ * Handlers by which an entry measures its service levels. They see an event
+ * after the handlers of requests, so that a request that is no longer open has
+ * ended with it.
+ */
+export const burnHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
+	'request.received'(state, event) {
+		const measured = createMeasured(state, event);
+		if (measured === undefined) {
+			return [];
+		}
+
+		if (state.requests.has(event.facts.requestId)) {
+			state.burn.open.set(event.facts.requestId, measured);
+		} else {
+			recordFailure(state.burn, measured, ERROR_CODES.noTarget, event.nowMs);
+		}
+
+		return [];
+	},
+
+	'attempt.answered'({burn}, {requestId, nowMs}) {
+		const measured = burn.open.get(requestId);
+		if (measured !== undefined) {
+			measured.firstTokenAtMs ??= nowMs;
+		}
+
+		return [];
+	},
+
+	'attempt.finished'({burn, requests}, {requestId, generatedTokens, nowMs}) {
+		const measured = burn.open.get(requestId);
+		if (measured === undefined || requests.has(requestId)) {
+			return [];
+		}
+
+		burn.open.delete(requestId);
+		const {
+			customerId, serviceId, firstTokenAtMs = nowMs, receivedAtMs, isModel,
+		} = measured;
+		const betweenMs = (nowMs - firstTokenAtMs) / Math.max(1, generatedTokens - 1);
+		recordBurn(burn, {
+			customerId,
+			serviceId,
+			nowMs,
+			counts: createBurnCounts({
+				requests: 1,
+				lateFirst: isModel && firstTokenAtMs - receivedAtMs > measured.firstTokenGoalMs ? 1 : 0,
+				lateBetween: isModel && generatedTokens > 1 && betweenMs > measured.betweenTokensGoalMs ? 1 : 0,
+			}),
+		});
+		return [];
+	},
+
+	'attempt.failed'({burn, requests}, {requestId, failure, nowMs}) {
+		const measured = burn.open.get(requestId);
+		if (measured !== undefined && !requests.has(requestId)) {
+			burn.open.delete(requestId);
+			recordFailure(burn, measured, failure.code, nowMs);
+		}
+
+		return [];
+	},
+
+	'caller.left'({burn}, {requestId}) {
+		burn.open.delete(requestId);
+		return [];
+	},
+
+	tick({burn, requests}, {nowMs}) {
+		for (const [requestId, measured] of burn.open) {
+			if (!requests.has(requestId)) {
+				burn.open.delete(requestId);
+				recordFailure(burn, measured, ERROR_CODES.deadlineExceeded, nowMs);
+			}
+		}
+
+		expireBurn(burn, nowMs);
+		return [];
+	},
+};
+
+/** Measures requests that the service could have answered: those of a known customer for what is offered. */
+function createMeasured(state: EntryState, {facts, nowMs}: RequestReceived): MeasuredRequest | undefined {
+	const resolved = resolveRoute(state.configuration, facts.method, facts.path, facts.modelId);
+	const record = state.requests.get(facts.requestId);
+	const customerId = record?.customerId ?? state.configuration.customerIdByKeyHash.get(facts.keyHash ?? '');
+	if (resolved === undefined || customerId === undefined || facts.bodyBytes > resolved.route.bodyLimitBytes) {
+		return undefined;
+	}
+
+	const {serviceId, kind, models, firstTokenGoalMs, betweenTokensGoalMs} = resolved.service;
+	const isModel = kind === 'model';
+	return isModel && !models.includes(facts.modelId ?? '')
+		? undefined
+		: {
+			customerId, serviceId, firstTokenGoalMs, betweenTokensGoalMs, isModel, receivedAtMs: nowMs, firstTokenAtMs: undefined,
+		};
+}
+
+function recordFailure(burn: BurnState, {customerId, serviceId}: MeasuredRequest, cause: string, nowMs: number): void {
+	recordBurn(burn, {
+		customerId, serviceId, cause, nowMs, counts: createBurnCounts({requests: 1, failed: 1}),
+	});
+}
--- /dev/null
+++ b/packages/core/src/burn/burnReport.ts
@@ -0,0 +1,141 @@
+import {
+	BURN_WINDOWS, type BurnCounts, type BurnState, type BurnWindowName, sumBurnCounts, sumBurnWindow,
+} from './burnState.js';
+
+/** What of its requests a service promises to get right. */
+export const SERVICE_LEVELS = {
+	firstToken: {goodShare: 0.95, countBad: ({lateFirst}: BurnCounts) => lateFirst},
+	betweenTokens: {goodShare: 0.95, countBad: ({lateBetween}: BurnCounts) => lateBetween},
+	success: {goodShare: 0.99, countBad: ({failed}: BurnCounts) => failed},
+} as const;
+
+/** One of {@link SERVICE_LEVELS}. */
+export type ServiceLevelName = keyof typeof SERVICE_LEVELS;
+
+/** Name that stands for all customers together. */
+export const ALL_CUSTOMERS = '*';
+
+/** Counts of one customer and service at one entry. */
+export type BurnPart = {
+	readonly customerId: string;
+	readonly serviceId: string;
+	readonly fast: BurnCounts;
+	readonly slow: BurnCounts;
+	readonly causes: Readonly<Record<string, number>>;
+};
+
+/** One line of the report. */
+export type BurnLine = {
+	readonly service: string;
+	/** A customer, or all of them. */
+	readonly customer: string;
+	readonly level: ServiceLevelName;
+	/** Requests of the slow window. */
+	readonly requests: number;
+	readonly bad: number;
+	/** How many times faster than allowed the error budget is spent: at 1 it lasts exactly. */
+	readonly fastBurn: number;
+	readonly slowBurn: number;
+	/** Part of the slow window's budget that is left; below zero where it is overspent. */
+	readonly budgetLeft: number;
+	/** Part of the service's bad requests that are this customer's. */
+	readonly share: number;
+	readonly why: string;
+};
+
+/**
+ * Reads what this entry measured.
+ *
+ * @param state - service levels
+ * @param nowMs - present time
+ * @returns counts by customer and service
+ */
+export function listBurnParts(state: BurnState, nowMs: number): BurnPart[] {
+	return [...state.tallies.values()].map(tally => ({
+		customerId: tally.customerId,
+		serviceId: tally.serviceId,
+		fast: sumBurnWindow(tally, 'fast', nowMs),
+		slow: sumBurnWindow(tally, 'slow', nowMs),
+		causes: Object.fromEntries(tally.causes),
+	}));
+}
+
+/**
+ * Computes the report from the parts of all entries: each service, then the
+ * customers whose requests spend its budget, most first.
+ *
+ * @param parts - counts of every entry
+ * @returns lines of the report
+ */
+export function computeBurnReport(parts: readonly BurnPart[]): BurnLine[] {
+	const services = [...new Set(parts.map(({serviceId}) => serviceId))].toSorted((left, right) => left.localeCompare(right, 'en'));
+	return services.flatMap(serviceId => {
+		const own = parts.filter(part => part.serviceId === serviceId);
+		const whole = mergeParts(ALL_CUSTOMERS, serviceId, own);
+		const customers = [...new Set(own.map(({customerId}) => customerId))]
+			.map(customerId => mergeParts(customerId, serviceId, own.filter(part => part.customerId === customerId)));
+		return (Object.keys(SERVICE_LEVELS) as ServiceLevelName[]).flatMap(level => {
+			const service = toLine(whole, whole, level);
+			const spenders = customers.map(customer => toLine(customer, whole, level)).filter(({bad}) => bad > 0);
+			return [service, ...spenders.toSorted((left, right) => right.bad - left.bad)];
+		});
+	});
+}
+
+function mergeParts(customerId: string, serviceId: string, parts: readonly BurnPart[]): BurnPart {
+	const causes: Record<string, number> = {};
+	for (const [cause, count] of parts.flatMap(part => Object.entries(part.causes))) {
+		causes[cause] = (causes[cause] ?? 0) + count;
+	}
+
+	return {
+		customerId,
+		serviceId,
+		fast: sumBurnCounts(parts.map(({fast}) => fast)),
+		slow: sumBurnCounts(parts.map(({slow}) => slow)),
+		causes,
+	};
+}
+
+function toLine(part: BurnPart, whole: BurnPart, level: ServiceLevelName): BurnLine {
+	const {countBad} = SERVICE_LEVELS[level];
+	const bad = countBad(part.slow);
+	const slowBurn = computeBurn(part, 'slow', level);
+	return {
+		service: part.serviceId,
+		customer: part.customerId,
+		level,
+		requests: part.slow.requests,
+		bad,
+		fastBurn: computeBurn(part, 'fast', level),
+		slowBurn,
+		budgetLeft: 1 - slowBurn,
+		share: countBad(whole.slow) === 0 ? 0 : bad / countBad(whole.slow),
+		why: bad === 0 ? '' : EXPLAINERS[level](part),
+	};
+}
+
+function computeBurn(part: BurnPart, window: BurnWindowName, level: ServiceLevelName): number {
+	const {goodShare, countBad} = SERVICE_LEVELS[level];
+	const counts = part[window];
+	return counts.requests === 0 ? 0 : countBad(counts) / counts.requests / (1 - goodShare);
+}
+
+const EXPLAINERS: Readonly<Record<ServiceLevelName, (part: BurnPart) => string>> = {
+	firstToken: ({slow}) => `${slow.lateFirst} of ${slow.requests} had their first token after the goal`,
+	betweenTokens: ({slow}) => `${slow.lateBetween} of ${slow.requests} were slower between tokens than the goal`,
+	success: ({causes}) => Object.entries(causes)
+		.toSorted(([, left], [, right]) => right - left)
+		.map(([cause, count]) => `${cause} ${count} times`)
+		.join(', '),
+};
+
+/**
+ * Tells how long a window is.
+ *
+ * @param name - the window
+ * @returns its length
+ */
+export function computeBurnWindowMs(name: BurnWindowName): number {
+	return BURN_WINDOWS[name].slotMs * BURN_WINDOWS[name].slots;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,3 +72,6 @@
 export * from './query/planCommand.js';
 export * from './query/querySources.js';
 export * from './query/runQuery.js';
+export * from './burn/burnHandlers.js';
+export * from './burn/burnReport.js';
+export * from './burn/burnState.js';
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,3 +1,4 @@
+import {burnHandlers} from '../burn/burnHandlers.js';
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
 import {drainHandlers} from '../fleet/drainHandlers.js';
 import {fleetHandlers} from '../fleet/fleetHandlers.js';
@@ -24,5 +25,6 @@
 		fleetHandlers,
 		entryUsageHandlers,
 		drainHandlers,
+		burnHandlers,
 	],
 });
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,4 +1,5 @@
 import {MINUTE_MS} from '@damaskspool/shared';
+import {type BurnState, createBurnState} from '../burn/burnState.js';
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
 import {createFleetState, type FleetState} from '../fleet/fleetState.js';
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
@@ -30,6 +31,7 @@
 	retries: RetryState;
 	lease: LeaseState;
 	fleet: FleetState;
+	burn: BurnState;
 	usage: EntryUsageState;
 	usageSealer: UsageSealerState;
 };
@@ -74,6 +76,7 @@
 			instanceId, processId, availabilityZone, region,
 		}),
 		fleet: createFleetState({availabilityZone, ...(planZone !== undefined && {planZone})}),
+		burn: createBurnState(),
 		usage: createEntryUsageState(region, runId),
 		usageSealer: createUsageSealerState({
 			region,
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -13,6 +13,7 @@
 import {type EntrySettings} from '../settings.js';
 import {stopServer} from '../stopServer.js';
 import {toErrorBody} from './callerAnswer.js';
+import {createBurnPart} from './createBurnPart.js';
 import {createConfigurationPart} from './createConfigurationPart.js';
 import {createDecisionPart} from './createDecisionPart.js';
 import {createFleetPart} from './createFleetPart.js';
@@ -87,6 +88,7 @@
 		createInstancesPart(context),
 		createLoadPart(context),
 		createOperatorPart(context, decisionPart),
+		createBurnPart(context),
 	];
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
 		state: createEntryState({...settings, processId: randomUUID()}),
--- a/packages/daemon/src/entry/createOperatorPart.ts
+++ b/packages/daemon/src/entry/createOperatorPart.ts
@@ -2,12 +2,12 @@
 import {
 	listStateRows, mayDrain, mergeQueryRows, planCommand, QUERY_SOURCES, type QuerySourceName, runQuery,
 } from '@damaskspool/core';
-import {type RpcContext} from '@damaskspool/runtime';
 import {
-	type CommandStatement, commandStatementSchema, type ConfigurationDocument, hashText, type QueryReply, type QueryRow,
+	type CommandStatement, commandStatementSchema, type ConfigurationDocument, type QueryReply, type QueryRow,
 	queryStatementSchema,
 } from '@damaskspool/shared';
 import {z} from 'zod';
+import {assertOperator} from './assertOperator.js';
 import {type DecisionPart} from './createDecisionPart.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 import {readUsageRows, type SealedUsageRow} from './readUsageRows.js';
@@ -191,16 +191,3 @@
 
 	return [...hours.values()];
 }
-
-/** Refuses a caller whose key is not that of an operator; tells which operator it is. */
-function assertOperator({readState}: EntryContext, rpcContext: RpcContext): string {
-	const {configuration} = readState();
-	const key = /^Bearer (?<key>\S+)$/v.exec(rpcContext.authorization ?? '')?.groups?.key;
-	const customerId = key === undefined ? undefined : configuration.customerIdByKeyHash.get(hashText(key));
-	const customer = customerId === undefined ? undefined : configuration.customers.get(customerId);
-	if (customer?.operator !== true) {
-		throw new Error('an operator\'s key is needed');
-	}
-
-	return customer.customerId;
-}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,6 +4,7 @@
 export * from './createObjectApiClient.js';
 export * from './createRpc.js';
 export * from './discardBody.js';
+export * from './histograms.js';
 export * from './listenOn.js';
 export * from './mergeRpcMethods.js';
 export * from './readBody.js';
