Compare policies through swings of the mix, and time the choice of a target

Cause: nothing measured routing and planning against simpler policies. Subsets were selected anew after every read of the instance list; now only when it says something new.

--- a/packages/bench/src/load/createTraffic.ts
+++ b/packages/bench/src/load/createTraffic.ts
@@ -13,6 +13,14 @@
 	readonly maxTokens: number;
 	/** Names the call at a plain service, and makes a prompt unlike any other. */
 	readonly reference: string;
+	/** A text that several prompts begin with; absent where each prompt is unlike any other. */
+	readonly document?: SharedDocument;
+};
+
+/** A text that several prompts begin with. */
+export type SharedDocument = {
+	readonly documentId: string;
+	readonly tokens: number;
 };
 
 /** Options of {@link createTraffic}. */
@@ -68,11 +76,21 @@
  * @param request - planned request
  * @returns text unlike that of any other request
  */
-export function createPrompt({reference, promptTokens}: PlannedRequest): string {
-	return `${reference} `.padEnd(promptTokens * BYTES_PER_TOKEN, 'register ');
+export function createPrompt({reference, promptTokens, document}: PlannedRequest): string {
+	const shared = document === undefined
+		? ''
+		: `${document.documentId} `.padEnd(document.tokens * BYTES_PER_TOKEN, 'register ');
+	return `${shared}${reference} `.padEnd(promptTokens * BYTES_PER_TOKEN, 'register ');
 }
 
-function pickByShare<Item extends {readonly share: number}>(items: readonly Item[], point: number): Item {
+/**
+ * Picks an item by its share of all.
+ *
+ * @param items - items with shares
+ * @param point - number from 0 up to but without 1
+ * @returns the item at that point
+ */
+export function pickByShare<Item extends {readonly share: number}>(items: readonly Item[], point: number): Item {
 	const total = items.reduce((sum, item) => sum + item.share, 0);
 	let left = point * total;
 	for (const item of items) {
@@ -85,6 +103,13 @@
 	return items.at(-1)!;
 }
 
-function pickInRange([low, high]: readonly [number, number], point: number): number {
+/**
+ * Picks a whole number from a range.
+ *
+ * @param range - lowest and highest
+ * @param point - number from 0 up to but without 1
+ * @returns the number at that point
+ */
+export function pickInRange([low, high]: readonly [number, number], point: number): number {
 	return low + Math.floor(point * (high - low + 1));
 }
--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -5,7 +5,16 @@
 export type Experiment = (argv: readonly string[]) => Promise<number>;
 
 /** Experiments by name, loaded when they are run. */
-const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {};
+const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {
+	async routing() {
+		const {runRoutingExperiment} = await import('./experiments/routing.js');
+		return runRoutingExperiment;
+	},
+	async shift() {
+		const {runShiftExperiment} = await import('./experiments/shift.js');
+		return runShiftExperiment;
+	},
+};
 
 const [name = '', ...argv] = process.argv.slice(2);
 const load = EXPERIMENTS[name];
--- a/packages/core/src/configuration/relayTree.ts
+++ b/packages/core/src/configuration/relayTree.ts
@@ -4,7 +4,7 @@
  * order without a message, and a lost entry moves few others.
  */
 import {type InstanceRecord} from '@damaskspool/shared';
-import {hashRendezvous} from '../routing/selectSubset.js';
+import {hashRendezvous} from '../routing/rendezvous.js';
 
 /** Entries of a zone that watch the store: each waiting watch is a paid call, and one may be lost. */
 export const RELAYS_PER_ZONE = 2;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,6 +47,7 @@
 export * from './routing/chooseTarget.js';
 export * from './routing/expectedTime.js';
 export * from './routing/prefixIndex.js';
+export * from './routing/rendezvous.js';
 export * from './routing/routingDemand.js';
 export * from './routing/routingHandlers.js';
 export * from './routing/routingPolicies.js';
--- a/packages/core/src/planning/__tests__/planZone.test.ts
+++ b/packages/core/src/planning/__tests__/planZone.test.ts
@@ -124,6 +124,11 @@
 		assert.notEqual(planZone(createInput(recent, demand)).step.kind, 'changeRole');
 	});
 
+	it('changes no role whose cache would take longer to fill than the role is kept', () => {
+		const targets = [0, 1, 2, 3].map(index => createPlanned(index, {totalPieces: 10_000}));
+		assert.notEqual(planZone(createInput(targets, createRates(48_000, 10))).step.kind, 'changeRole');
+	});
+
 	it('leaves the roles alone while they absorb the mix', () => {
 		const targets = [0, 1, 2, 3].map(index => createPlanned(index));
 		assert.equal(planZone(createInput(targets, createRates(20_000, 10))).step.kind, 'none');
--- a/packages/core/src/planning/planRoleChange.ts
+++ b/packages/core/src/planning/planRoleChange.ts
@@ -1,4 +1,4 @@
-import {type TargetRole} from '@damaskspool/shared';
+import {SECOND_MS, type TargetRole, TOKENS_PER_MEMORY_PIECE} from '@damaskspool/shared';
 import {computeHeadroom, type DemandViews, isServingBoth} from './headroom.js';
 import {type PlanSettings, type RoleCapacity} from './planSettings.js';
 import {type PlannedTarget, type ZonePlan} from './zonePlan.js';
@@ -35,13 +35,10 @@
 		return undefined;
 	}
 
-	// A change takes its target out: spread over the dwell time, this must be won back as well.
-	const lostShare = settings.roleChangeMs / Math.max(settings.dwellMs, 1);
-	const neededGain = 1 + ((settings.hysteresisGain + lostShare) / serving.length);
 	const best = serving
 		.filter(target => nowMs - target.inRoleSinceMs >= settings.dwellMs)
 		.flatMap(target => listChanges(options, target))
-		.filter(candidate => candidate.gain > neededGain)
+		.filter(candidate => candidate.gain > 1 + (computeNeededGain(candidate.target, settings) / serving.length))
 		.toSorted((left, right) => right.gain - left.gain || left.target.running - right.target.running
 			|| left.target.targetId.localeCompare(right.target.targetId))
 		.at(0);
@@ -53,6 +50,17 @@
 		};
 }
 
+/**
+ * Computes the gain that a change must bring, in capacities of one target. A
+ * change takes its target out and empties its prefix cache; spread over the
+ * dwell time, both must be won back beyond the band.
+ */
+function computeNeededGain({role, totalPieces}: PlannedTarget, settings: PlanSettings): number {
+	const cacheTokens = totalPieces * TOKENS_PER_MEMORY_PIECE;
+	const refillMs = cacheTokens * SECOND_MS / settings.capacities[role].prefillTokensRate;
+	return settings.hysteresisGain + ((settings.roleChangeMs + refillMs) / Math.max(settings.dwellMs, 1));
+}
+
 function listChanges(options: RoleChangeOptions, target: PlannedTarget): Candidate[] {
 	const {serving, views, settings} = options;
 	const others = serving.filter(other => other !== target).map(other => other.role);
--- a/packages/core/src/routing/chooseTarget.ts
+++ b/packages/core/src/routing/chooseTarget.ts
@@ -26,10 +26,14 @@
 export function chooseTarget(options: ChooseTargetOptions): TargetView | undefined {
 	const {routing, membership, demand, availabilityZone, nowMs} = options;
 	const subset = selectSubset({...options, serviceId: demand.serviceId, modelId: demand.modelId});
-	let eligible = subset
-		.map(targetId => membership.targets.get(targetId))
-		.filter(target => target !== undefined)
-		.filter(target => isEligible(target, options));
+	let eligible: TargetView[] = [];
+	for (const targetId of subset) {
+		const target = membership.targets.get(targetId);
+		if (target !== undefined && isEligible(target, options)) {
+			eligible.push(target);
+		}
+	}
+
 	if (eligible.length === 0) {
 		eligible = [...membership.targets.values()].filter(target => isEligible(target, options));
 	}
--- a/packages/core/src/routing/routingHandlers.ts
+++ b/packages/core/src/routing/routingHandlers.ts
@@ -1,3 +1,5 @@
+import {type InstanceRecord} from '@damaskspool/shared';
+import {type MembershipState} from '../membership/membershipState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type EntryEffect} from '../reducer/entryEffects.js';
 import {type EntryEvent} from '../reducer/entryEvents.js';
@@ -52,7 +54,10 @@
 	},
 
 	'instances.listed'({routing, membership}, {instances}) {
-		routing.subsets.clear();
+		if (isListChanged(membership, instances)) {
+			routing.subsets.clear();
+		}
+
 		const listed = new Set(instances.map(instance => instance.instanceId));
 		for (const targetId of [...routing.ownLoads.keys(), ...routing.prefixes.keys()]) {
 			if (!listed.has(targetId) && !membership.targets.has(targetId)) {
@@ -84,6 +89,15 @@
 	},
 };
 
+/** Tells whether the list says anything of targets that is not known yet; a subset stays as long as it does not. */
+function isListChanged({targets}: MembershipState, instances: readonly InstanceRecord[]): boolean {
+	const listed = instances.filter(instance => instance.kind === 'target');
+	return listed.length !== targets.size || listed.some(instance => {
+		const known = targets.get(instance.instanceId);
+		return known?.incarnation !== instance.incarnation || (instance.state === 'leaving' && !known.isLeaving);
+	});
+}
+
 function settlePrefill(routing: RoutingState, sent: SentAttempt): void {
 	sent.isAnswered = true;
 	findOwnLoad(routing, sent.targetId).prefillTokens -= sent.prefillTokens;
--- a/packages/core/src/routing/routingPolicies.ts
+++ b/packages/core/src/routing/routingPolicies.ts
@@ -1,9 +1,8 @@
 import {type TargetView} from '../membership/membershipState.js';
 import {computeExpectedTime, type ExpectedTimeOptions} from './expectedTime.js';
-import {countCachedPrefixes} from './prefixIndex.js';
+import {computeRank, hashIdentifier} from './rendezvous.js';
 import {findOwnLoad, type RoutingState} from './routingState.js';
 import {type RoutingDemand} from './routingDemand.js';
-import {hashRendezvous} from './selectSubset.js';
 
 /** What a policy chooses from. */
 export type PolicyOptions = {
@@ -76,9 +75,10 @@
 	const picked = new Set<TargetView>();
 	const prefix = demand.prefixHashes?.[0];
 	if (usesAffinity && prefix !== undefined) {
-		picked.add(findLowest(eligible, target => hashRendezvous(prefix, target.targetId)));
+		const prefixHash = hashIdentifier(prefix);
+		picked.add(findLowest(eligible, target => computeRank(prefixHash, findOwnLoad(routing, target.targetId).targetHash)));
 		for (const target of eligible) {
-			if (countCachedPrefixes(routing.prefixes, target.targetId, [prefix]) > 0) {
+			if (routing.prefixes.get(target.targetId)?.hashes.has(prefix)) {
 				picked.add(target);
 			}
 		}
--- a/packages/core/src/routing/routingState.ts
+++ b/packages/core/src/routing/routingState.ts
@@ -1,4 +1,5 @@
 import {type PrefixIndex} from './prefixIndex.js';
+import {hashIdentifier} from './rendezvous.js';
 import {type RoutingPolicyName} from './routingPolicies.js';
 
 /** One attempt as the entry that sent it counts it. */
@@ -14,6 +15,8 @@
 
 /** Own work at one target. */
 export type OwnLoad = {
+	/** Hash of the target's identifier, for ranks of rendezvous hashing. */
+	readonly targetHash: number;
 	/** Own attempts under way. */
 	running: number;
 	/** Prompt tokens of own attempts that have not answered. */
@@ -68,7 +71,7 @@
 	let load = state.ownLoads.get(targetId);
 	if (load === undefined) {
 		load = {
-			running: 0, prefillTokens: 0, runningSinceReport: 0, prefillTokensSinceReport: 0, reportAtMs: 0, slowness: 1,
+			targetHash: hashIdentifier(targetId), running: 0, prefillTokens: 0, runningSinceReport: 0, prefillTokensSinceReport: 0, reportAtMs: 0, slowness: 1,
 		};
 		state.ownLoads.set(targetId, load);
 	}
--- a/packages/core/src/routing/selectSubset.ts
+++ b/packages/core/src/routing/selectSubset.ts
@@ -1,5 +1,6 @@
 import {type MembershipState, type TargetView} from '../membership/membershipState.js';
-import {type RoutingState} from './routingState.js';
+import {computeRank, hashIdentifier} from './rendezvous.js';
+import {findOwnLoad, type RoutingState} from './routingState.js';
 
 /** Targets among which one entry chooses. More adds little to the best of a few, and each costs time in every decision. */
 export const SUBSET_SIZE = 24;
@@ -30,12 +31,13 @@
 		return known;
 	}
 
+	const entryHash = hashIdentifier(options.entryId);
 	const ranked = [...membership.targets.values()]
-		.filter(target => target.serviceId === serviceId && !target.isLeaving && isOfferingModel(target, modelId))
+		.filter(target => target.serviceId === serviceId && isOfferingModel(target, modelId))
 		.map(target => ({
 			targetId: target.targetId,
 			isFar: target.availabilityZone !== options.availabilityZone,
-			rank: hashRendezvous(options.entryId, target.targetId),
+			rank: computeRank(entryHash, findOwnLoad(routing, target.targetId).targetHash),
 		}))
 		.toSorted((left, right) => Number(left.isFar) - Number(right.isFar) || left.rank - right.rank);
 	// A third of the subset lies elsewhere where it can, so that the loss or overload of the zone is no outage.
@@ -57,26 +59,3 @@
 export function isOfferingModel(target: TargetView, modelId: string | undefined): boolean {
 	return modelId === undefined || target.load === undefined || target.load.models.includes(modelId);
 }
-
-/** FNV-1a, which spreads short identifiers well and takes far less time than a cryptographic hash. */
-const FNV_OFFSET = 0x81_1C_9D_C5;
-const FNV_PRIME = 0x01_00_01_93;
-
-/**
- * Computes the rank of a pair for rendezvous hashing.
- *
- * @param left - one identifier
- * @param right - the other
- * @returns a 32-bit number
- */
-export function hashRendezvous(left: string, right: string): number {
-	const text = `${left}/${right}`;
-	let hash = FNV_OFFSET;
-	for (let index = 0; index < text.length; index += 1) {
-		// eslint-disable-next-line no-bitwise
-		hash = Math.imul(hash ^ text.codePointAt(index)!, FNV_PRIME);
-	}
-
-	// eslint-disable-next-line no-bitwise
-	return hash >>> 0;
-}
