Claim calls that may not be repeated under their Idempotency-Key

A caller that sent a permit order again after a lost reply had it run again, as each send was a request of its own. Such a call is now claimed first: the owner of its shard, by rendezvous hash among entries, records it in a log in the object API before anything runs, many claims in one write. Each segment of the log is created only where none is, so that two entries that both believe they own a shard cannot both grant a claim; a write whose reply was lost is settled by reading back. With the store down such calls are refused as not run, and a caller that leaves does not end a claimed call.

The property over three rival owners, with lost replies and stale views, found that an owner must not itself release a claim whose asker it had refused: the asker may have been granted it elsewhere.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,10 @@
 export * from './admission/admissionHandlers.js';
 export * from './admission/admissionState.js';
+export * from './claims/claimHandlers.js';
+export type * from './claims/claimMessages.js';
+export * from './claims/claimOwners.js';
+export * from './claims/claimShard.js';
+export * from './claims/claimState.js';
 export * from './configuration/applyEdits.js';
 export * from './configuration/checkDocument.js';
 export * from './configuration/configurationCopy.js';
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -1,4 +1,5 @@
 import {type Failure} from '@damaskspool/shared';
+import {type ClaimEffect} from '../claims/claimMessages.js';
 import {type ConfigurationEffect} from '../configuration/configurationMessages.js';
 import {type FleetEffect} from '../fleet/fleetMessages.js';
 import {type LeaseEffect} from '../lease/leaseMessages.js';
@@ -35,4 +36,4 @@
 /** Every effect of an entry. */
 export type EntryEffect
 	= | SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision
-		| ConfigurationEffect | LeaseEffect | FleetEffect | CallUsage;
+		| ClaimEffect | ConfigurationEffect | LeaseEffect | FleetEffect | CallUsage;
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -5,6 +5,7 @@
 import {type FleetEvent} from '../fleet/fleetMessages.js';
 import {type UsageReply} from '../usage/usageCalls.js';
 import {type LeaseEvent} from '../lease/leaseMessages.js';
+import {type ClaimEvent} from '../claims/claimMessages.js';
 import {type BaseEvent} from './createReducer.js';
 
 /** What the edge read of a request before anything was decided. It holds no key, only the key's hash. */
@@ -92,4 +93,4 @@
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
 		| InstancesListed | LoadReported | Tick | StopRequested | TargetDrainRequested
 		| UsageStarted | UsageEnded | UsageFlushDue | UsageSealDue | UsageReplied
-		| ConfigurationEvent | LeaseEvent | FleetEvent;
+		| ClaimEvent | ConfigurationEvent | LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -1,4 +1,5 @@
 import {burnHandlers} from '../burn/burnHandlers.js';
+import {claimHandlers} from '../claims/claimHandlers.js';
 import {configurationHandlers} from '../configuration/configurationHandlers.js';
 import {drainHandlers} from '../fleet/drainHandlers.js';
 import {fleetHandlers} from '../fleet/fleetHandlers.js';
@@ -21,6 +22,7 @@
 		spreadHandlers,
 		membershipHandlers,
 		requestHandlers,
+		claimHandlers,
 		leaseHandlers,
 		fleetHandlers,
 		entryUsageHandlers,
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -1,5 +1,6 @@
 import {MINUTE_MS} from '@damaskspool/shared';
 import {type BurnState, createBurnState} from '../burn/burnState.js';
+import {type ClaimState, createClaimState} from '../claims/claimState.js';
 import {type ConfigurationState, createConfigurationState} from '../configuration/configurationState.js';
 import {createFleetState, type FleetState} from '../fleet/fleetState.js';
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
@@ -29,6 +30,7 @@
 	routing: RoutingState;
 	requests: Map<string, RequestRecord>;
 	retries: RetryState;
+	claims: ClaimState;
 	lease: LeaseState;
 	fleet: FleetState;
 	burn: BurnState;
@@ -72,6 +74,7 @@
 		routing: createRoutingState(options.routingPolicy),
 		requests: new Map(),
 		retries: createRetryState(),
+		claims: createClaimState(runId),
 		lease: createLeaseState({
 			instanceId, processId, availabilityZone, region,
 		}),
--- a/packages/core/src/request/requestHandlers.ts
+++ b/packages/core/src/request/requestHandlers.ts
@@ -1,6 +1,7 @@
 import {
 	createFailure, ERROR_CODES, type Failure, OUTCOMES,
 } from '@damaskspool/shared';
+import {askClaim, createClaim, settleClaim} from '../claims/claimedRequest.js';
 import {mergeLoadReport, recordTargetFailure, recordTargetSuccess} from '../membership/membershipState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type EntryEffect} from '../reducer/entryEffects.js';
@@ -32,7 +33,36 @@
 
 		const record = createRequestRecord({facts, nowMs, ...admission});
 		state.requests.set(facts.requestId, record);
-		return sendNextAttempt(state, record, nowMs, undefined);
+		const claim = createClaim(record);
+		return claim === undefined ? sendNextAttempt(state, record, nowMs, undefined) : askClaim(state, claim);
+	},
+
+	'claim.decided'(state, {requestId, record: claim, verdict, nowMs}) {
+		const record = state.requests.get(requestId);
+		if (record === undefined || record.claim !== undefined) {
+			// The request ended meanwhile, and nothing of it ran.
+			return record === undefined && verdict.type !== 'duplicate' ? settleClaim(state, claim, 'released') : [];
+		}
+
+		if (verdict.type === 'granted') {
+			record.claim = claim;
+			return sendNextAttempt(state, record, nowMs, undefined);
+		}
+
+		if (verdict.type === 'answered') {
+			advanceRequest(record, {type: 'replay'});
+			state.requests.delete(requestId);
+			return [{type: 'request.replay', requestId, answer: verdict.answer}];
+		}
+
+		const isDuplicate = verdict.type === 'duplicate';
+		const requestState = advanceRequest(record, {type: isDuplicate ? 'duplicate' : 'exhaust'});
+		const code = isDuplicate ? ERROR_CODES.duplicateCall : ERROR_CODES.storeUnavailable;
+		return [
+			// An owner that did not answer may have recorded the claim all the same.
+			...isDuplicate ? [] : settleClaim(state, claim, 'released'),
+			...closeRequest(state, record, requestState, createFailure(code, {retryAfterMs: RETRY_AFTER_MS})),
+		];
 	},
 
 	'attempt.answered'(state, event) {
@@ -84,7 +114,8 @@
 
 	'caller.left'(state, {requestId}) {
 		const record = state.requests.get(requestId);
-		if (record === undefined) {
+		// A claimed call that a target may be running is seen to its end, so that a re-send is given its answer.
+		if (record === undefined || (record.claim !== undefined && record.attempt !== undefined)) {
 			return [];
 		}
 
@@ -171,6 +202,7 @@
 	state.requests.delete(requestId);
 	return [
 		...effects,
+		...isNotRun ? settleClaim(state, record.claim, 'released') : [],
 		{type: 'request.refuse', requestId, failure: createFailure(ERROR_CODES.deadlineExceeded, {outcome})},
 	];
 }
@@ -278,6 +310,12 @@
 	}],
 };
 
+/** How a claim is settled, by the state in which its request ended. */
+const SETTLED_STATUSES: Readonly<Partial<Record<RequestMachineState, 'released' | 'finished'>>> = {
+	answered: 'finished',
+	refusedNotRun: 'released',
+};
+
 function closeRequest(
 	state: EntryState,
 	record: RequestRecord,
@@ -285,6 +323,10 @@
 	failure: Failure | undefined,
 ): readonly EntryEffect[] {
 	const {requestId} = record.facts;
+	const status = SETTLED_STATUSES[requestState];
 	state.requests.delete(requestId);
-	return CLOSERS[requestState]?.(requestId, failure ?? createFailure(ERROR_CODES.internal)) ?? [];
+	return [
+		...status === undefined ? [] : settleClaim(state, record.claim, status),
+		...CLOSERS[requestState]?.(requestId, failure ?? createFailure(ERROR_CODES.internal)) ?? [],
+	];
 }
--- a/packages/core/src/request/requestMachine.ts
+++ b/packages/core/src/request/requestMachine.ts
@@ -15,6 +15,10 @@
 		| {readonly type: 'failNotRun'}
 	/** The attempt ended and it may have run. */
 		| {readonly type: 'failUnknown'}
+	/** An earlier request runs or ran the same call, without an answer that is known. */
+		| {readonly type: 'duplicate'}
+	/** An earlier request ran the same call, and its answer is given again. */
+		| {readonly type: 'replay'}
 	/** No further attempt is made: no target, no budget or no time. */
 		| {readonly type: 'exhaust'}
 	/** The whole answer was handed to the caller. */
@@ -56,6 +60,8 @@
 			on: {
 				attempt: 'attempting',
 				exhaust: 'refusedNotRun',
+				duplicate: 'refusedUnknown',
+				replay: 'answered',
 			},
 		},
 		attempting: {
--- a/packages/core/src/request/requestRecord.ts
+++ b/packages/core/src/request/requestRecord.ts
@@ -1,4 +1,4 @@
-import {type RouteConfiguration, type ServiceConfiguration} from '@damaskspool/shared';
+import {type ClaimRecord, type RouteConfiguration, type ServiceConfiguration} from '@damaskspool/shared';
 import {
 	initialTransition, type SnapshotFrom, transition,
 } from 'xstate';
@@ -26,6 +26,8 @@
 	attempt: Attempt | undefined;
 	attemptCount: number;
 	readonly triedTargetIds: Set<string>;
+	/** Claim of a call that may not be repeated, once it was granted. */
+	claim: ClaimRecord | undefined;
 };
 
 /** Options of {@link createRequestRecord}. */
@@ -57,6 +59,7 @@
 		attempt: undefined,
 		attemptCount: 0,
 		triedTargetIds: new Set(),
+		claim: undefined,
 	};
 }
 
--- a/packages/daemon/src/entry/callerAnswer.ts
+++ b/packages/daemon/src/entry/callerAnswer.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {writeWithBackPressure} from '@damaskspool/runtime';
 import {
-	ERROR_DESCRIPTIONS, type Failure, HEADERS, type Outcome, OUTCOMES, SECOND_MS,
+	ERROR_DESCRIPTIONS, type Failure, HEADERS, type Outcome, OUTCOMES, SECOND_MS, type StoredAnswer,
 } from '@damaskspool/shared';
 
 /** The caller's side of a request: writes either a whole answer or one refusal. */
@@ -13,6 +13,8 @@
 	readonly sendEvent: (bytes: Buffer) => Promise<boolean>;
 	/** Keeps a whole answer that is no stream until the request is complete. */
 	readonly holdWhole: (status: number, contentType: string, body: Buffer) => void;
+	/** The whole answer that is kept, if there is one. */
+	readonly readHeld: () => StoredAnswer | undefined;
 	readonly complete: () => void;
 	readonly refuse: (failure: Failure) => void;
 };
@@ -71,6 +73,7 @@
 		holdWhole(status, contentType, body) {
 			held = {status, contentType, body};
 		},
+		readHeld: () => held === undefined ? undefined : {...held, body: held.body.toString('base64')},
 		complete() {
 			if (isStream) {
 				endStream(OUTCOMES.answered);
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -15,6 +15,7 @@
 import {toErrorBody} from './callerAnswer.js';
 import {createBurnPart} from './createBurnPart.js';
 import {createConfigurationPart} from './createConfigurationPart.js';
+import {createClaimPart} from './createClaimPart.js';
 import {createDecisionPart} from './createDecisionPart.js';
 import {createFleetPart} from './createFleetPart.js';
 import {createLeasePart} from './createLeasePart.js';
@@ -74,12 +75,14 @@
 
 	const usagePart = createUsagePart(context);
 	const requestPart = createRequestPart(context, usagePart);
+	const claimPart = createClaimPart(context, requestPart);
 	const decisionPart = createDecisionPart(context);
 	const configurationPart = createConfigurationPart(context);
 	const leasePart = createLeasePart(context);
 	const fleetPart = createFleetPart(context);
 	const parts: readonly EntryPart[] = [
 		requestPart,
+		claimPart,
 		decisionPart,
 		leasePart,
 		configurationPart,
@@ -95,6 +98,7 @@
 		reduce: reduceEntry,
 		effectHandlers: decisionPart.observe({
 			...requestPart.effectHandlers,
+			...claimPart.effectHandlers,
 			...decisionPart.effectHandlers,
 			...configurationPart.effectHandlers,
 			...leasePart.effectHandlers,
--- a/packages/daemon/src/entry/createRequestPart.ts
+++ b/packages/daemon/src/entry/createRequestPart.ts
@@ -1,5 +1,7 @@
+import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type SendAttempt} from '@damaskspool/core';
+import {type StoredAnswer} from '@damaskspool/shared';
 import {Agent} from 'undici';
 import {type CallerAnswer, createCallerAnswer, refuseUnread} from './callerAnswer.js';
 import {type UsagePart} from './createUsagePart.js';
@@ -17,9 +19,11 @@
 };
 
 /** The part of an entry that serves callers. */
-export type RequestPart = EntryPart<'attempt.send' | 'attempt.cancel' | 'request.refuse' | 'request.complete'> & {
+export type RequestPart = EntryPart<'attempt.send' | 'attempt.cancel' | 'request.refuse' | 'request.complete' | 'request.replay'> & {
 	/** Takes a caller's request. */
 	readonly receive: (incoming: IncomingMessage, response: ServerResponse) => Promise<void>;
+	/** The whole answer of a request that is about to be completed. */
+	readonly readAnswer: (requestId: string) => StoredAnswer | undefined;
 	readonly countOpen: () => number;
 };
 
@@ -36,7 +40,7 @@
  * @returns the part
  */
 export function createRequestPart(context: EntryContext, usage: Pick<UsagePart, 'startMetering'>): RequestPart {
-	const {settings, logger, metrics, dispatch, readClock} = context;
+	const {settings, logger, metrics, dispatch, readClock, readState} = context;
 	const open = new Map<string, OpenRequest>();
 	const dispatcher = new Agent({connections: CONNECTIONS_PER_SIDECAR, connect: {timeout: CONNECT_TIMEOUT_MS}});
 
@@ -109,11 +113,18 @@
 				metrics.count(`refused_total{code="${failure.code}"}`);
 				closeRequest(requestId)?.answer.refuse(failure);
 			},
+			'request.replay'({requestId, answer: {status, contentType, body}}) {
+				metrics.count('replayed_total');
+				const answer = closeRequest(requestId)?.answer;
+				answer?.holdWhole(status, contentType, Buffer.from(body, 'base64'));
+				answer?.complete();
+			},
 			'request.complete'({requestId}) {
 				metrics.count('answered_total');
 				closeRequest(requestId)?.answer.complete();
 			},
 		},
+		readAnswer: requestId => open.get(requestId)?.answer.readHeld(),
 		countOpen: () => open.size,
 		updateGauges() {
 			metrics.setGauge('open_requests', open.size);
@@ -145,9 +156,10 @@
 			});
 			response.on('close', () => {
 				if (open.has(requestId) && !response.writableFinished) {
-					const left = closeRequest(requestId);
 					dispatch({type: 'caller.left', requestId});
-					left?.attempt?.abort();
+					if (!readState().requests.has(requestId)) {
+						closeRequest(requestId)?.attempt?.abort();
+					}
 				}
 			});
 			dispatch({type: 'request.received', facts: request.facts});
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 export * from './configurationAnswer.js';
 export * from './apiKeys.js';
+export * from './claimDocuments.js';
 export * from './configurationDocument.js';
 export * from './configurationEdit.js';
 export * from './configurationHead.js';
