--- a/packages/core/src/configuration/__tests__/planChange.test.ts
+++ b/packages/core/src/configuration/__tests__/planChange.test.ts
@@ -81,6 +81,16 @@
 		assert.equal(stored.head?.revision, 2);
 	});
 
+	it('is not applied in part by a copy that lacks the change before it', () => {
+		const stored = createStored();
+		const late = createConfigurationCopy();
+		applyUpdate(late, createUpdate(stored.copy, 0)!);
+		acceptChange(stored, {changeId: 'change-a', edits: [createCustomerEdit('d', 2)]});
+		acceptChange(stored, {changeId: 'change-b', edits: [createCustomerEdit('e', 2)]});
+		assert.ok(!applyUpdate(late, createUpdate(stored.copy, 2)!));
+		assert.equal(late.revision, 1);
+	});
+
 	it('reaches a copy that missed any number of updates, in any order, and never reverts it', () => {
 		const steps = fc.array(fc.tuple(fc.nat(5), fc.integer({min: 1, max: 9}), fc.boolean()), {minLength: 1, maxLength: 90});
 		fc.assert(fc.property(steps, fc.array(fc.nat(100), {maxLength: 100}), (changes, late) => {
--- a/packages/core/src/configuration/__tests__/spread.test.ts
+++ b/packages/core/src/configuration/__tests__/spread.test.ts
@@ -321,6 +321,28 @@
 		assert.ok(fleet.entries.every(entry => !fleet.isSure(entry)));
 	});
 
+	it('spreads a change that only an entry beside the relays holds when the store goes down', () => {
+		const fleet = new Fleet(['a', 'a', 'a', 'a', 'a', 'b', 'b'], () => TICK_MS);
+		fleet.advance(3000);
+		const proposer = fleet.entries.find(({state}) => state.spread.tree.ownIndex === 4)!;
+		proposer.isReachable = false;
+		fleet.accept(proposer);
+		fleet.isStoreUp = false;
+		fleet.advance(TICK_MS);
+		proposer.isReachable = true;
+		fleet.advance(WITHDRAWN_LIMIT_MS);
+		assert.ok(fleet.entries.every(({state}) => state.configuration.revision === fleet.revision));
+	});
+
+	it('is not confirmed by a peer whose revision is another', () => {
+		const fleet = new Fleet(['a', 'b'], () => TICK_MS);
+		const {state} = fleet.entries[0]!;
+		reduceEntry(state, {
+			type: 'configuration.peerAnswered', nowMs: 1, elapsedMs: 1, peerId: 'entry-1', answer: {instanceId: 'entry-1', revision: 5, confirmedAgeMs: 0},
+		});
+		assert.ok(!fleet.isSure(fleet.entries[0]!));
+	});
+
 	it('has few relays in a zone, and gives each entry one parent and few children at any size', () => {
 		const instances = Array.from({length: 860}, (_, index): InstanceRecord => ({
 			instanceId: `entry-${index}`, kind: 'entry', availabilityZone: `zone-${index % 12}`, region: 'r', address: `entry-${index}`, state: 'live', serviceId: '', incarnation: 1,
