Index only the changed parts of a configuration

Cause: the capacity measurement showed that each change cost an entry time for every customer: 3.24 µs (± 0.04) a customer to apply, so 21 ms of its one thread at 6,700 customers, and 12.8 µs (± 0.6), so 88 ms, at the entry that proposes it.

Change: an update takes the old parts' keys out of the index and puts the new ones in; a proposal keeps the shard of known customers and compares by identity first.

Conclusion: a change no longer holds up requests at the entries that only apply it. A property checks that the index equals one built from the whole.

--- a/packages/core/src/configuration/__tests__/planChange.test.ts
+++ b/packages/core/src/configuration/__tests__/planChange.test.ts
@@ -7,7 +7,10 @@
 import {
 	applyUpdate, type ConfigurationCopy, createConfigurationCopy, createUpdate, toDocument,
 } from '../configurationCopy.js';
+import {applyConfiguration, createConfigurationState} from '../configurationState.js';
 import {planChange} from '../planChange.js';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createEntryState} from '../../reducer/entryState.js';
 import {createTestDocument} from '../../request/__tests__/requestFixtures.js';
 
 const SEED = 20_261_204;
@@ -118,3 +121,41 @@
 		}), {seed: SEED, numRuns: 100});
 	});
 });
+
+describe('an entry that is sent the changed parts', () => {
+	it('finds the same customers by the same keys as one that reads the whole', () => {
+		const edits = fc.array(fc.record({customer: fc.nat(6), key: fc.nat(9), type: fc.constantFrom('set', 'remove', 'issueKey', 'withdrawKey')}), {maxLength: 40});
+		fc.assert(fc.property(edits, steps => {
+			const stored = createStored();
+			const state = createEntryState({instanceId: 'e', availabilityZone: 'a'});
+			reduceEntry(state, {
+				type: 'configuration.updated', nowMs: 0, source: 'peer', update: createUpdate(stored.copy, 0)!,
+			});
+			for (const [index, {customer, key, type}] of steps.entries()) {
+				const customerId = `customer-${customer}`;
+				const keyHash = hashText(`key ${key}`);
+				const edit: Record<typeof type, ConfigurationEdit> = {
+					set: createCustomerEdit(customerId, key + 1),
+					remove: {type: 'removeCustomer', customerId},
+					issueKey: {type: 'issueKey', customerId, keyHash},
+					withdrawKey: {type: 'withdrawKey', customerId, keyHash},
+				};
+				const before = stored.copy.revision;
+				acceptChange(stored, {changeId: `change-${index}`, edits: [edit[type]]});
+				const update = createUpdate(stored.copy, before);
+				if (update !== undefined) {
+					reduceEntry(state, {
+						type: 'configuration.updated', nowMs: 0, source: 'peer', update,
+					});
+				}
+			}
+
+			const whole = createConfigurationState();
+			applyConfiguration(whole, {revision: stored.copy.revision, document: toDocument(stored.copy)});
+			const {customers, customerIdByKeyHash, routes} = state.configuration;
+			assert.deepEqual(customers, whole.customers);
+			assert.deepEqual(customerIdByKeyHash, whole.customerIdByKeyHash);
+			assert.deepEqual(routes, whole.routes);
+		}), {seed: SEED, numRuns: 100});
+	});
+});
--- a/packages/core/src/configuration/configurationHandlers.ts
+++ b/packages/core/src/configuration/configurationHandlers.ts
@@ -2,9 +2,9 @@
 import {type EntryEffect} from '../reducer/entryEffects.js';
 import {type EntryEvent} from '../reducer/entryEvents.js';
 import {type EntryState} from '../reducer/entryState.js';
-import {applyUpdate, toDocument} from './configurationCopy.js';
+import {applyUpdate} from './configurationCopy.js';
 import {planPassing} from './spreadHandlers.js';
-import {applyConfiguration} from './configurationState.js';
+import {applyConfiguration, applyParts} from './configurationState.js';
 
 /** Handlers by which an entry puts configurations in force. */
 export const configurationHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
@@ -24,12 +24,14 @@
 
 	'configuration.updated'(state, {update, source}) {
 		const {configuration, instanceId} = state;
+		const previous = configuration.copy.parts;
 		if (!applyUpdate(configuration.copy, update)) {
 			return [];
 		}
 
 		const {revision} = configuration.copy;
-		applyConfiguration(configuration, {revision, document: toDocument(configuration.copy)});
+		const names = update.fromRevision === undefined ? [...previous.keys(), ...configuration.copy.parts.keys()] : update.parts.map(({name}) => name);
+		applyParts(configuration, previous, [...new Set(names)]);
 		const applied: EntryEffect = {
 			type: 'decision.record', name: 'configuration.applied', subject: instanceId, detail: {revision, source},
 		};
--- a/packages/core/src/configuration/configurationState.ts
+++ b/packages/core/src/configuration/configurationState.ts
@@ -4,7 +4,7 @@
 	type RouteConfiguration,
 	type ServiceConfiguration,
 } from '@damaskspool/shared';
-import {type ConfigurationCopy, createConfigurationCopy} from './configurationCopy.js';
+import {type ConfigurationCopy, createConfigurationCopy, type PartCopy} from './configurationCopy.js';
 
 /** A service together with the route of it that a request took. */
 export type ResolvedRoute = {
@@ -59,14 +59,50 @@
 
 	const {services, customers} = configuration.document;
 	state.revision = configuration.revision;
-	state.services = new Map(services.map(service => [service.serviceId, service]));
 	state.customers = new Map(customers.map(customer => [customer.customerId, customer]));
 	state.customerIdByKeyHash = new Map(customers.flatMap(customer =>
 		customer.keyHashes.map(keyHash => [keyHash, customer.customerId] as const)));
+	indexServices(state, services);
+	return true;
+}
+
+/**
+ * Puts changed parts in force. Only what they hold is indexed anew: at thousands
+ * of customers a whole index takes longer than a request may wait.
+ *
+ * @param state - state to change; its copy already holds the new parts
+ * @param previous - the changed parts as they were
+ * @param names - names of the changed parts
+ */
+export function applyParts(state: ConfigurationState, previous: ReadonlyMap<string, PartCopy>, names: readonly string[]): void {
+	const before = names.flatMap(name => previous.get(name)?.document ?? []);
+	const after = names.flatMap(name => state.copy.parts.get(name)?.document ?? []);
+	for (const {customerId, keyHashes} of before.flatMap(({customers}) => customers)) {
+		state.customers.delete(customerId);
+		for (const keyHash of keyHashes) {
+			state.customerIdByKeyHash.delete(keyHash);
+		}
+	}
+
+	for (const customer of after.flatMap(({customers}) => customers)) {
+		state.customers.set(customer.customerId, customer);
+		for (const keyHash of customer.keyHashes) {
+			state.customerIdByKeyHash.set(keyHash, customer.customerId);
+		}
+	}
+
+	if ([...before, ...after].some(({services}) => services.length > 0)) {
+		indexServices(state, [...state.copy.parts.values()].flatMap(({document}) => document.services));
+	}
+
+	state.revision = state.copy.revision;
+}
+
+function indexServices(state: ConfigurationState, services: readonly ServiceConfiguration[]): void {
+	state.services = new Map(services.map(service => [service.serviceId, service]));
 	state.routes = services
 		.flatMap(service => service.routes.map(route => ({service, route})))
 		.toSorted((left, right) => right.route.path.length - left.route.path.length);
-	return true;
 }
 
 /**
--- a/packages/core/src/configuration/planChange.ts
+++ b/packages/core/src/configuration/planChange.ts
@@ -80,7 +80,7 @@
 
 function planWrite({head, copy, documentId, document, proposal}: PlanWriteOptions): ChangePlan {
 	const changed = [...splitDocument(document, copy)]
-		.filter(([name, part]) => JSON.stringify(copy.parts.get(name)?.document) !== JSON.stringify(part))
+		.filter(([name, part]) => !isSamePart(copy.parts.get(name)?.document, part))
 		.map(([name, part]) => ({name, documentId, document: part}));
 	const replaced = changed.flatMap(({name}) => {
 		const previous = copy.parts.get(name);
@@ -107,12 +107,17 @@
 /** Splits a document into parts. A part that was once written stays, so that an update can empty it. */
 function splitDocument(document: ConfigurationDocument, copy: ConfigurationCopy): Map<string, ConfigurationPart> {
 	const parts = new Map<string, ConfigurationPart>();
-	for (const name of [SERVICES_PART, ...copy.parts.keys()]) {
-		parts.set(name, {services: name === SERVICES_PART ? document.services : [], customers: []});
+	const nameByCustomer = new Map<string, string>();
+	for (const [name, part] of copy.parts) {
+		parts.set(name, {services: [], customers: []});
+		for (const {customerId} of part.document.customers) {
+			nameByCustomer.set(customerId, name);
+		}
 	}
 
+	parts.set(SERVICES_PART, {services: document.services, customers: []});
 	for (const customer of document.customers) {
-		const name = `customers-${hashText(customer.customerId).slice(0, SHARD_DIGITS)}`;
+		const name = nameByCustomer.get(customer.customerId) ?? `customers-${hashText(customer.customerId).slice(0, SHARD_DIGITS)}`;
 		const part = parts.get(name) ?? {services: [], customers: []};
 		part.customers.push(customer);
 		parts.set(name, part);
@@ -121,6 +126,17 @@
 	return parts;
 }
 
+/** Compares by identity first: edits leave alone what they do not touch. */
+function isSamePart(left: ConfigurationPart | undefined, right: ConfigurationPart): boolean {
+	if (left === undefined) {
+		return false;
+	}
+
+	const isSameList = (one: readonly unknown[], other: readonly unknown[]) =>
+		one.length === other.length && one.every((item, index) => item === other[index] || JSON.stringify(item) === JSON.stringify(other[index]));
+	return isSameList(left.services, right.services) && isSameList(left.customers, right.customers);
+}
+
 function describeEdit(edit: ConfigurationEdit): {subject: string; commutes: boolean} {
 	const describe = EDIT_SUBJECTS[edit.type] as (edit: ConfigurationEdit) => {subject: string; commutes: boolean};
 	return describe(edit);
