--- /dev/null
+++ b/packages/bench/src/measure/fitLine.ts
@@ -0,0 +1,54 @@
+import {linearRegression, linearRegressionLine, rSquared} from 'simple-statistics';
+
+/** One driver stepped over several values, and the line through what was measured. */
+export type FittedLine = {
+	readonly driver: string;
+	readonly quantity: string;
+	readonly unit: string;
+	readonly points: ReadonlyArray<readonly [number, number]>;
+	readonly slope: number;
+	/** Standard error of the slope. */
+	readonly slopeError: number;
+	readonly intercept: number;
+	readonly rSquared: number;
+};
+
+/** Options of {@link fitLine}. */
+export type FitLineOptions = Pick<FittedLine, 'driver' | 'quantity' | 'unit' | 'points'>;
+
+/** Parameters that a line takes from its points. */
+const LINE_PARAMETERS = 2;
+const SIGNIFICANT_DIGITS = 4;
+
+/**
+ * Fits a line by least squares.
+ *
+ * @param options - what was stepped, what was measured, and the points
+ * @returns slope with its standard error, intercept and share of the variance that the line explains
+ */
+export function fitLine(options: FitLineOptions): FittedLine {
+	const points = options.points.map(([x, y]) => [x, y]);
+	const line = linearRegression(points);
+	const predict = linearRegressionLine(line);
+	const meanX = points.reduce((sum, [x]) => sum + x!, 0) / points.length;
+	const spreadX = points.reduce((sum, [x]) => sum + ((x! - meanX) ** 2), 0);
+	const residual = points.reduce((sum, [x, y]) => sum + ((y! - predict(x!)) ** 2), 0);
+	return {
+		...options,
+		points: options.points.map(([x, y]) => [x, roundSignificant(y)] as const),
+		slope: roundSignificant(line.m),
+		slopeError: roundSignificant(Math.sqrt(residual / (points.length - LINE_PARAMETERS) / spreadX)),
+		intercept: roundSignificant(line.b),
+		rSquared: roundSignificant(rSquared(points, predict)),
+	};
+}
+
+/**
+ * Rounds to four significant digits.
+ *
+ * @param value - any number
+ * @returns the rounded number
+ */
+export function roundSignificant(value: number): number {
+	return Number(value.toPrecision(SIGNIFICANT_DIGITS));
+}
--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -14,6 +14,14 @@
 		const {runShiftExperiment} = await import('./experiments/shift.js');
 		return runShiftExperiment;
 	},
+	async capacity() {
+		const {runCapacity} = await import('./experiments/capacity.js');
+		return runCapacity;
+	},
+	async overhead() {
+		const {runOverhead} = await import('./experiments/overhead.js');
+		return runOverhead;
+	},
 };
 
 const [name = '', ...argv] = process.argv.slice(2);
