--- a/packages/daemon/src/sidecar/createSidecar.ts
+++ b/packages/daemon/src/sidecar/createSidecar.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:http';
+import {setTimeout} from 'node:timers/promises';
 import {
 	createSidecarState, reduceSidecar, type SidecarEffect, type SidecarEvent, type SidecarState,
 } from '@damaskspool/core';
@@ -26,6 +27,8 @@
 
 /** Time between looks for waiting work whose deadline passed. */
 const TICK_INTERVAL_MS = 100;
+/** Time for which a leaving sidecar still refuses, not run, so that entries hear of it before their connections close. */
+const LEAVE_NOTICE_MS = 2000;
 /** Time for which an idle connection of an entry stays open. */
 const KEEP_ALIVE_MS = 65_000;
 /** Longest wait for a connection to the target. */
@@ -121,6 +124,7 @@
 		addresses,
 		async stop() {
 			loop.dispatch({type: 'stop.requested'});
+			await setTimeout(Math.min(LEAVE_NOTICE_MS, settings.drainLimit));
 			await stopServer({server, isBusy: () => workPart.countOpen() > 0, limitMs: settings.drainLimit});
 			clearInterval(ticks);
 			await Promise.all(parts.map(async part => part.stop?.()));
