Measure a zone's demand, and let the fleet duty plan by it

Cause: the fleet duty carried steps out, but its planner was the one that plans nothing and its demand was empty. Change: every entry samples the work totals of its zone's targets every five seconds into the short and long averages with a forecast, and the daemon gives the fleet duty planZone; the setting fleetPlanner turns it off.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,6 +59,7 @@
 export * from './routing/routingState.js';
 export * from './routing/selectSubset.js';
 export * from './planning/demandAverages.js';
+export * from './planning/demandHandlers.js';
 export * from './planning/headroom.js';
 export * from './planning/planRoleChange.js';
 export * from './planning/planSettings.js';
--- /dev/null
+++ b/packages/core/src/planning/__tests__/demandHandlers.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SECOND_MS} from '@damaskspool/shared';
+import {reduceEntry} from '../../reducer/entryReducer.js';
+import {createEntryState, type EntryState} from '../../reducer/entryState.js';
+import {createLoad, createTarget} from '../../routing/__tests__/routingFixtures.js';
+
+function createMeasuringState(): EntryState {
+	const state = createEntryState({instanceId: 'e', availabilityZone: 'a'});
+	for (const target of [createTarget('t0'), createTarget('t1'), createTarget('far', {availabilityZone: 'b'})]) {
+		state.membership.targets.set(target.targetId, target);
+	}
+
+	return state;
+}
+
+/** Lets every target report new totals, and time pass to the next sample. */
+function passSample(state: EntryState, nowMs: number, prefillTokensTotal: number): void {
+	for (const [targetId, target] of state.membership.targets) {
+		target.load = createLoad({targetId, prefillTokensTotal});
+	}
+
+	reduceEntry(state, {type: 'tick', nowMs});
+}
+
+describe('the measured demand of a zone', () => {
+	it('follows the work of the own zone alone', () => {
+		const state = createMeasuringState();
+		for (let index = 0; index <= 200; index += 1) {
+			passSample(state, index * 5 * SECOND_MS, index * 5000);
+		}
+
+		const [demand] = state.fleet.demands;
+		assert.equal(demand?.serviceId, 's');
+		// Two targets at 1,000 tokens a second each.
+		assert.ok(Math.abs(demand.longPrefillTokensRate - 2000) < 50, String(demand.longPrefillTokensRate));
+		assert.notEqual(demand.forecastPrefillTokensRate, undefined);
+	});
+
+	it('does not count what a target did before it was known, nor totals that began anew', () => {
+		const state = createMeasuringState();
+		passSample(state, 0, 0);
+		passSample(state, 5 * SECOND_MS, 1_000_000);
+		passSample(state, 10 * SECOND_MS, 10);
+		assert.equal(state.fleet.demands[0]?.shortPrefillTokensRate, 0);
+	});
+});
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -6,6 +6,7 @@
 import {leaseHandlers} from '../lease/leaseHandlers.js';
 import {spreadHandlers} from '../configuration/spreadHandlers.js';
 import {membershipHandlers} from '../membership/membershipHandlers.js';
+import {demandHandlers} from '../planning/demandHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
 import {routingHandlers} from '../routing/routingHandlers.js';
 import {entryUsageHandlers} from '../usage/entryUsageHandlers.js';
@@ -24,6 +25,7 @@
 		requestHandlers,
 		claimHandlers,
 		leaseHandlers,
+		demandHandlers,
 		fleetHandlers,
 		entryUsageHandlers,
 		drainHandlers,
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -12,6 +12,7 @@
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
 import {createEntryUsageState, type EntryUsageState} from '../usage/entryUsage.js';
 import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealer.js';
+import {createDemandState, type DemandState} from '../planning/demandHandlers.js';
 import {createRoutingState, type RoutingState} from '../routing/routingState.js';
 
 /** Length of a usage window where the settings do not say. */
@@ -28,6 +29,7 @@
 	membership: MembershipState;
 	spread: SpreadState;
 	routing: RoutingState;
+	demand: DemandState;
 	requests: Map<string, RequestRecord>;
 	retries: RetryState;
 	claims: ClaimState;
@@ -72,6 +74,7 @@
 		membership: createMembershipState(),
 		spread: createSpreadState(options),
 		routing: createRoutingState(options.routingPolicy),
+		demand: createDemandState(),
 		requests: new Map(),
 		retries: createRetryState(),
 		claims: createClaimState(runId),
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {
-	createEntryState, type EntryEffect, type EntryEvent, type EntryState, reduceEntry,
+	createEntryState, type EntryEffect, type EntryEvent, type EntryState, planZone, reduceEntry,
 } from '@damaskspool/core';
 import {
 	createLoop, createMetrics, createObjectApiClient, createRpcCaller, createRpcHandler, listenOn, type Logger, mergeRpcMethods, RPC_PATH,
@@ -94,7 +94,7 @@
 		createBurnPart(context),
 	];
 	const loop = createLoop<EntryState, EntryEvent, EntryEffect>({
-		state: createEntryState({...settings, processId: randomUUID()}),
+		state: createEntryState({...settings, processId: randomUUID(), ...(settings.fleetPlanner === 'on' && {planZone})}),
 		reduce: reduceEntry,
 		effectHandlers: decisionPart.observe({
 			...requestPart.effectHandlers,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -38,6 +38,8 @@
 	pollInterval: durationSchema.default(SECOND_MS),
 	/** How targets are chosen; others than the default are there for experiments. */
 	routingPolicy: z.enum(ROUTING_POLICY_NAMES).default('expectedTime'),
+	/** Whether the fleet duty plans role changes, starts and stops by itself. */
+	fleetPlanner: z.enum(['on', 'off']).default('on'),
 });
 
 /** Settings of a sidecar. */
