--- a/packages/bench/src/experiments/capacityInProcess.ts
+++ b/packages/bench/src/experiments/capacityInProcess.ts
@@ -111,7 +111,9 @@
 		for (let index = 0; index < REPEATS; index += 1) {
 			const startedAtMs = performance.now();
 			const planned = planChange({
-				head, copy: state.configuration.copy, baseRevision: head.revision, documentId: `d${index}`, proposal: {changeId: `change-${index}`, edits: [{type: 'issueKey', customerId: `customer-${index}`, keyHash: hashText(`new ${index}`)}]},
+				head, copy: state.configuration.copy,
+				baseRevision: head.revision, documentId: `d${index}`,
+				proposal: {changeId: `change-${index}`, edits: [{type: 'issueKey', customerId: `customer-${index}`, keyHash: hashText(`new ${index}`)}]},
 			});
 			if (planned.err || planned.val.kind !== 'write') {
 				throw new Error('the change was not planned');
@@ -167,7 +169,9 @@
 			sequence += 1;
 			reduceEntry(state, {
 				type: 'request.received', nowMs: 1, facts: {
-					requestId: `r${sequence}`, method: 'POST', path: '/v1/chat/completions', keyHash: hashText('customer-0/0'), modelId: `model-${models - 1}`, bodyBytes: 10, promptTokens: 10, maxTokens: 10, isStream: true, priority: 'interactive', bodyDigest: 'd', idempotencyKey: undefined,
+					requestId: `r${sequence}`, method: 'POST', path: '/v1/chat/completions', keyHash: hashText('customer-0/0'),
+					modelId: `model-${models - 1}`, bodyBytes: 10, promptTokens: 10, maxTokens: 10,
+					isStream: true, priority: 'interactive', bodyDigest: 'd', idempotencyKey: undefined,
 				},
 			});
 		}, 300)] as const;
@@ -227,7 +231,10 @@
 
 function createRow(index: number, kind: InstanceRecord['kind']): InstanceRecord {
 	return {
-		instanceId: `${kind}-${index}`, kind, availabilityZone: `zone-${index % ZONES}`, region: `region-${index % 4}`, address: `10.0.${index % 256}.${index % 200}:9000`, state: 'live', serviceId: kind === 'target' ? 'assistant' : '', incarnation: 1,
+		instanceId: `${kind}-${index}`, kind,
+		availabilityZone: `zone-${index % ZONES}`, region: `region-${index % 4}`,
+		address: `10.0.${index % 256}.${index % 200}:9000`, state: 'live',
+		serviceId: kind === 'target' ? 'assistant' : '', incarnation: 1,
 	};
 }
 
@@ -249,7 +256,10 @@
 	return {
 		services: [createService(0)],
 		customers: Array.from({length: customers}, (_, index) => ({
-			customerId: `customer-${index}`, keyHashes: Array.from({length: keys}, (_key, key) => hashText(`customer-${index}/${key}`)), weight: 1, operator: false, requestsPerSecond: 10, tokensPerSecond: 10_000,
+			customerId: `customer-${index}`,
+			keyHashes: Array.from({length: keys}, (_key, key) => hashText(`customer-${index}/${key}`)),
+			weight: 1, operator: false,
+			requestsPerSecond: 10, tokensPerSecond: 10_000,
 		})),
 	};
 }
--- a/packages/bench/src/experiments/capacityProcesses.ts
+++ b/packages/bench/src/experiments/capacityProcesses.ts
@@ -1,5 +1,6 @@
 /** The drivers that are measured on real processes: what an entry and a sidecar use, idle and under load. */
 import {spawn} from 'node:child_process';
+import {randomUUID} from 'node:crypto';
 import {once} from 'node:events';
 import path from 'node:path';
 import process from 'node:process';
@@ -18,7 +19,8 @@
 
 const RATE_STEPS = [0, 100, 200, 400];
 const TOKEN_STEPS = [8, 32, 64, 128];
-const TOKEN_REQUESTS_PER_SECOND = 50;
+/** Requests in a second at which the tokens of an answer are stepped. */
+export const TOKEN_REQUESTS_PER_SECOND = 50;
 const CHANGE_STEPS = [0, 2, 4, 8];
 const STEP_MS = 5000;
 const ANY_PORT = '127.0.0.1:0';
@@ -38,6 +40,8 @@
 	readonly entryCpuMs: number;
 	readonly sidecarCpuMs: number;
 	readonly entryBytes: number;
+	/** Those of the configuration alone. */
+	readonly configurationBytes: number;
 	readonly storeCalls: number;
 	readonly entryResident: number;
 	readonly sidecarResident: number;
@@ -56,23 +60,14 @@
  */
 export async function measureProcesses(): Promise<ProcessCapacity> {
 	const setup = await startSetup();
-	await sendFor(setup, {rate: 200, tokens: 8});
-	const byRate: Array<readonly [number, Step]> = [];
-	for (const rate of RATE_STEPS) {
-		byRate.push([rate, await observe(setup, async () => sendFor(setup, {rate, tokens: 8}))]);
-	}
-
-	const byTokens: Array<readonly [number, Step]> = [];
-	for (const tokens of TOKEN_STEPS) {
-		byTokens.push([tokens * TOKEN_REQUESTS_PER_SECOND, await observe(setup, async () => sendFor(setup, {rate: TOKEN_REQUESTS_PER_SECOND, tokens}))]);
+	let steps: Awaited<ReturnType<typeof stepDrivers>>;
+	try {
+		steps = await stepDrivers(setup);
+	} finally {
+		await setup.stop();
 	}
 
-	const byChanges: Array<readonly [number, Step]> = [];
-	for (const rate of CHANGE_STEPS) {
-		byChanges.push([rate, await observe(setup, async () => changeFor(setup, rate))]);
-	}
-
-	await setup.stop();
+	const {byRate, byTokens, byChanges} = steps;
 	const fit = (driver: string, quantity: keyof Step, unit: string, steps: ReadonlyArray<readonly [number, Step]>) => fitLine({
 		driver, quantity, unit, points: steps.map(([x, step]) => [x, step[quantity]] as const),
 	});
@@ -85,7 +80,7 @@
 			fit('tokenRate', 'entryCpuMs', 'ms of CPU/s', byTokens),
 			fit('tokenRate', 'sidecarCpuMs', 'ms of CPU/s', byTokens),
 			fit('configurationRate', 'entryCpuMs', 'ms of CPU/s', byChanges),
-			fit('configurationRate', 'entryBytes', 'bytes/s of control', byChanges),
+			fit('configurationRate', 'configurationBytes', 'bytes/s of configuration', byChanges),
 			fit('configurationRate', 'storeCalls', 'calls/s of one entry', byChanges),
 		],
 		residentBytes: {
@@ -94,12 +89,35 @@
 	};
 }
 
+async function stepDrivers(setup: Setup) {
+	// Compiled code and connections are there before the first step.
+	await sendFor(setup, {rate: 200, tokens: 8});
+	await changeFor(setup, 2);
+	const byRate: Array<readonly [number, Step]> = [];
+	for (const rate of RATE_STEPS) {
+		byRate.push([rate, await observe(setup, async () => sendFor(setup, {rate, tokens: 8}))]);
+	}
+
+	const byTokens: Array<readonly [number, Step]> = [];
+	for (const tokens of TOKEN_STEPS) {
+		byTokens.push([tokens * TOKEN_REQUESTS_PER_SECOND, await observe(setup, async () => sendFor(setup, {rate: TOKEN_REQUESTS_PER_SECOND, tokens}))]);
+	}
+
+	const byChanges: Array<readonly [number, Step]> = [];
+	for (const rate of CHANGE_STEPS) {
+		byChanges.push([rate, await observe(setup, async () => changeFor(setup, rate))]);
+	}
+
+	return {byRate, byTokens, byChanges};
+}
+
 async function observe({platform, entries, sidecar}: Setup, run: () => Promise<void>): Promise<Step> {
 	const [entry] = entries;
 	const read = async () => ({
 		entry: await readProcessUsage(entry!.child.pid!),
 		sidecar: await readProcessUsage(sidecar.child.pid!),
 		bytes: await readCounter(entry!, 'control_bytes_total'),
+		configurationBytes: await readCounter(entry!, 'configuration_bytes_total'),
 		calls: [...platform.calls.values()].reduce((sum, count) => sum + count, 0),
 		atMs: performance.now(),
 	});
@@ -111,6 +129,7 @@
 		entryCpuMs: (after.entry.cpuMs - before.entry.cpuMs) / seconds,
 		sidecarCpuMs: (after.sidecar.cpuMs - before.sidecar.cpuMs) / seconds,
 		entryBytes: (after.bytes - before.bytes) / seconds,
+		configurationBytes: (after.configurationBytes - before.configurationBytes) / seconds,
 		storeCalls: (after.calls - before.calls) / seconds / (entries.length + 1),
 		entryResident: after.entry.residentBytes,
 		sidecarResident: after.sidecar.residentBytes,
@@ -160,7 +179,7 @@
 	for (let index = 0; performance.now() - startedAtMs < STEP_MS; index += 1) {
 		if (rate > 0) {
 			await store.propose({
-				changeId: `change-${rate}-${index}`, edits: [{type: 'issueKey', customerId: `customer-${index}`, keyHash: hashText(`${rate}/${index}`)}],
+				changeId: randomUUID(), edits: [{type: 'issueKey', customerId: `customer-${index}`, keyHash: hashText(randomUUID())}],
 			});
 		}
 
@@ -219,8 +238,8 @@
 	}
 
 	await waitFor(async () => {
-		const known = await Promise.all(entries.map(async entry => readCounter(entry, 'known_targets')));
-		return known.every(count => count === 1);
+		const ready = await Promise.all(entries.map(async entry => isReady(entry, entries.length - 1)));
+		return ready.every(Boolean);
 	});
 	return {
 		platform,
@@ -236,6 +255,11 @@
 	};
 }
 
+async function isReady(entry: DaemonProcess, peers: number): Promise<boolean> {
+	const gauges = await Promise.all(['known_targets', 'configuration_revision', 'known_entries'].map(async name => readCounter(entry, name)));
+	return gauges[0] === 1 && gauges[1] === 1 && gauges[2] === peers;
+}
+
 async function readCounter(entry: DaemonProcess, name: string): Promise<number> {
 	const response = await fetch(`http://${entry.addresses.control}/metrics`);
 	return Number(new RegExp(String.raw`^damaskspool_${name} (\S+)$`, 'mv').exec(await response.text())?.[1] ?? 0);
--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -41,23 +41,26 @@
 	const latency: Record<PathName, Measured> = {direct: createMeasured(), through: createMeasured()};
 	const throughput: Record<PathName, Measured> = {direct: createMeasured(), through: createMeasured()};
 	const usage = createUsageSum();
-	for (const name of ['direct', 'through'] as const) {
-		await runClosedLoop(setup, name, createMeasured());
-	}
-
-	for (let round = 0; round < ROUNDS; round += 1) {
+	try {
 		for (const name of ['direct', 'through'] as const) {
-			await runOpenLoop(setup, name, latency[name]);
+			await runClosedLoop(setup, name, createMeasured());
 		}
 
-		await runClosedLoop(setup, 'direct', throughput.direct);
-		const before = await readAllUsage(setup.pids);
-		await runClosedLoop(setup, 'through', throughput.through);
-		usage.add(before, await readAllUsage(setup.pids));
+		for (let round = 0; round < ROUNDS; round += 1) {
+			for (const name of ['direct', 'through'] as const) {
+				await runOpenLoop(setup, name, latency[name]);
+			}
+
+			await runClosedLoop(setup, 'direct', throughput.direct);
+			const before = await readAllUsage(setup.pids);
+			await runClosedLoop(setup, 'through', throughput.through);
+			usage.add(before, await readAllUsage(setup.pids));
+		}
+	} finally {
+		await setup.stop();
 	}
 
 	const processes = usage.summarize(throughput.through.requests);
-	await setup.stop();
 	return report({latency, throughput, processes});
 }
 
