Keep a target that the list calls leaving out of use

A load report of a sidecar that had not heard of its end set the target back to usable. What the list says is now kept apart and no report takes it back.

--- a/packages/core/src/membership/membershipState.ts
+++ b/packages/core/src/membership/membershipState.ts
@@ -9,6 +9,8 @@
 	incarnation: number;
 	/** The list or the sidecar says that the target is going. */
 	isLeaving: boolean;
+	/** The list says so: no report of a sidecar that has not heard of it takes that back. */
+	isListedLeaving?: boolean;
 	load: LoadReport | undefined;
 	/** When the load report came in. */
 	loadAtMs: number;
@@ -81,7 +83,8 @@
 function mergeTargetRow(state: MembershipState, instance: InstanceRecord): void {
 	const known = state.targets.get(instance.instanceId);
 	if (known?.incarnation === instance.incarnation) {
-		known.isLeaving ||= instance.state === 'leaving';
+		known.isListedLeaving = instance.state === 'leaving';
+		known.isLeaving ||= known.isListedLeaving;
 		return;
 	}
 
@@ -92,6 +95,7 @@
 		serviceId: instance.serviceId,
 		incarnation: instance.incarnation,
 		isLeaving: instance.state === 'leaving',
+		isListedLeaving: instance.state === 'leaving',
 		load: undefined,
 		loadAtMs: 0,
 		inFlight: known?.inFlight ?? 0,
@@ -116,7 +120,7 @@
 
 	target.load = load;
 	target.loadAtMs = nowMs;
-	target.isLeaving = load.state === 'leaving' || load.state === 'draining' || load.state === 'gone';
+	target.isLeaving = target.isListedLeaving === true || load.state === 'leaving' || load.state === 'draining' || load.state === 'gone';
 }
 
 /**
