--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -6,6 +6,10 @@
 
 /** Experiments by name, loaded when they are run. */
 const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {
+	async control() {
+		const {runControlExperiment} = await import('./experiments/control.js');
+		return runControlExperiment;
+	},
 	async routing() {
 		const {runRoutingExperiment} = await import('./experiments/routing.js');
 		return runRoutingExperiment;
