--- a/packages/bench/src/__tests__/badInput.test.ts
+++ b/packages/bench/src/__tests__/badInput.test.ts
@@ -240,20 +240,22 @@
 			['silent', ERROR_CODES.targetFailed],
 			['crossed', ERROR_CODES.answerCrossed],
 		] as const;
-		for (const [content, code] of cases) {
-			let seen = '';
-			await waitFor(async () => {
-				const {body} = await callEntry(deployment.entries[0]!.addresses.listen!, CHAT_PATH, {body: createChat(content)});
-				seen = body;
-				// The target's failures keep attempts away from it for a while.
-				return !body.includes(ERROR_CODES.noTarget);
-			});
-			assert.match(seen, new RegExp(`"code":"${code}".*"outcome":"${OUTCOMES.refusedUnknown}"`, 'v'), content);
-			assert.doesNotMatch(seen, /\[DONE\]/v, content);
+		try {
+			for (const [content, code] of cases) {
+				let seen = '';
+				await waitFor(async () => {
+					const {body} = await callEntry(deployment.entries[0]!.addresses.listen!, CHAT_PATH, {body: createChat(content)});
+					seen = body;
+					// The target's failures keep attempts away from it for a while.
+					return !body.includes(ERROR_CODES.noTarget);
+				});
+				assert.match(seen, new RegExp(`"code":"${code}".*"outcome":"${OUTCOMES.refusedUnknown}"`, 'v'), content);
+				assert.doesNotMatch(seen, /\[DONE\]/v, content);
+			}
+		} finally {
+			const codes = await deployment.stop();
+			await engine.close();
+			assert.deepEqual(new Set(codes), new Set([0]));
 		}
-
-		const codes = await deployment.stop();
-		await engine.close();
-		assert.deepEqual(new Set(codes), new Set([0]));
 	});
 });
--- /dev/null
+++ b/packages/core/src/admission/__tests__/admission.test.ts
@@ -0,0 +1,169 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ERROR_CODES} from '@damaskspool/shared';
+import fc from 'fast-check';
+import {type SidecarEffect} from '../../reducer/sidecarEffects.js';
+import {reduceSidecar} from '../../reducer/sidecarReducer.js';
+import {createSidecarState, type SidecarState} from '../../reducer/sidecarState.js';
+import {type Work} from '../admissionState.js';
+
+const SEED = 20_261_204;
+
+function createServingState(concurrency = 1, queueLimit = 100): SidecarState {
+	const state = createSidecarState({instanceId: 't', capacity: {concurrency, pieces: 0, queueLimit}});
+	state.admission.lifeState = 'serving';
+	return state;
+}
+
+function createWork(customerId: string, index: number, fields: Partial<Work> = {}): Work {
+	const attemptId = `${customerId}.${index}`;
+	return {
+		requestId: attemptId, attemptId, customerId, weight: 1, priority: 'interactive', promptTokens: 100, prefillTokens: 100,
+		maxTokens: 10, deadlineAtMs: 1e9, fingerprint: '', ...fields,
+	};
+}
+
+const receive = (state: SidecarState, work: Work) => reduceSidecar(state, {type: 'work.received', nowMs: 1, work});
+
+/** Ends what runs, and returns the customers whose work starts, in order. */
+function runInOrder(state: SidecarState, count: number): string[] {
+	const started: string[] = [];
+	for (let index = 0; index < count; index += 1) {
+		const [running] = state.admission.running.values();
+		if (running === undefined) {
+			break;
+		}
+
+		const effects = reduceSidecar(state, {
+			type: 'work.ended', nowMs: 2, attemptId: running.attemptId, generatedTokens: running.maxTokens,
+		});
+		started.push(...effects.filter(effect => effect.type === 'work.start').map(effect => effect.attemptId.split('.')[0]!));
+	}
+
+	return started;
+}
+
+describe('admission at a sidecar', () => {
+	it('serves a small customer its share beside one that sends ten times as much', () => {
+		const state = createServingState();
+		for (let index = 0; index < 50; index += 1) {
+			receive(state, createWork('large', index));
+		}
+
+		runInOrder(state, 20);
+		for (let index = 0; index < 5; index += 1) {
+			receive(state, createWork('small', index));
+		}
+
+		const next = runInOrder(state, 10);
+		assert.ok(next.filter(id => id === 'small').length >= 4, next.join(' '));
+	});
+
+	it('serves waiting customers by weight, whatever their work costs', () => {
+		const costs = fc.tuple(fc.integer({min: 1, max: 2000}), fc.integer({min: 1, max: 2000}));
+		fc.assert(fc.property(costs, fc.integer({min: 1, max: 4}), ([first, second], weight) => {
+			const state = createServingState(1, 500);
+			const sizes: Readonly<Record<string, number>> = {a: first, b: second};
+			for (let index = 0; index < 200; index += 1) {
+				receive(state, createWork('a', index, {prefillTokens: first, maxTokens: 0, weight}));
+				receive(state, createWork('b', index, {prefillTokens: second, maxTokens: 0}));
+			}
+
+			const served = {a: 0, b: 0};
+			for (const id of runInOrder(state, 40) as Array<'a' | 'b'>) {
+				served[id] += sizes[id]!;
+			}
+
+			assert.ok(Math.abs((served.a / weight) - served.b) <= 2 * Math.max(first, second));
+		}), {seed: SEED, numRuns: 200});
+	});
+
+	it('gives no credit for idling', () => {
+		const state = createServingState();
+		receive(state, createWork('early', 0));
+		for (let index = 0; index < 30; index += 1) {
+			receive(state, createWork('busy', index));
+		}
+
+		runInOrder(state, 20);
+		for (let index = 1; index < 20; index += 1) {
+			receive(state, createWork('early', index));
+		}
+
+		const next = runInOrder(state, 8);
+		assert.ok(next.filter(id => id === 'busy').length >= 3, next.join(' '));
+	});
+
+	it('has a full queue refuse the customer that fills it', () => {
+		const state = createServingState(1, 4);
+		for (let index = 0; index < 5; index += 1) {
+			receive(state, createWork('large', index));
+		}
+
+		const effects = receive(state, createWork('small', 0));
+		assert.ok(effects[0]?.type === 'work.refuse' && effects[0].failure.code === ERROR_CODES.queueFull);
+		assert.equal(effects[0].attemptId, 'large.4');
+		assert.equal(state.admission.waiting.length, 4);
+		const [refused] = receive(state, createWork('large', 9));
+		assert.ok(refused?.type === 'work.refuse' && refused.attemptId === 'large.9' && refused.failure.retryAfterMs !== undefined);
+	});
+
+	it('starts or refuses each work once, and gives all memory back', () => {
+		const steps = fc.array(fc.record({
+			kind: fc.constantFrom('receive', 'end', 'cancel', 'tick'),
+			customer: fc.constantFrom('a', 'b', 'c'),
+			pick: fc.nat(20),
+			tokens: fc.nat(6000),
+			priority: fc.constantFrom('interactive' as const, 'batch' as const),
+		}), {maxLength: 80});
+		fc.assert(fc.property(steps, list => {
+			const state = createServingState(3, 5);
+			state.admission.capacity = {concurrency: 3, pieces: 8, queueLimit: 5};
+			const ends = new Map<string, string>();
+			let nowMs = 1;
+			const take = (effects: readonly SidecarEffect[]) => {
+				for (const effect of effects) {
+					if (effect.type === 'work.start' || effect.type === 'work.refuse') {
+						assert.ok(!ends.has(effect.attemptId));
+						ends.set(effect.attemptId, effect.type);
+					}
+				}
+			};
+
+			const endOne = (index: number) => {
+				const running = [...state.admission.running.keys()];
+				const attemptId = running[index % Math.max(1, running.length)];
+				if (attemptId !== undefined) {
+					take(reduceSidecar(state, {
+						type: 'work.ended', nowMs, attemptId, generatedTokens: 1,
+					}));
+				}
+			};
+
+			for (const [index, step] of list.entries()) {
+				nowMs += 10;
+				const waiting = state.admission.waiting[step.pick % Math.max(1, state.admission.waiting.length)];
+				if (step.kind === 'receive') {
+					const fields = {
+						promptTokens: step.tokens, prefillTokens: step.tokens, priority: step.priority, deadlineAtMs: nowMs + 300,
+					};
+					take(receive(state, createWork(step.customer, index, fields)));
+				} else if (step.kind === 'end') {
+					endOne(step.pick);
+				} else if (step.kind === 'cancel' && waiting !== undefined) {
+					take(reduceSidecar(state, {type: 'work.cancelled', nowMs, attemptId: waiting.attemptId}));
+				} else if (step.kind === 'tick') {
+					take(reduceSidecar(state, {type: 'tick', nowMs}));
+				}
+			}
+
+			take(reduceSidecar(state, {type: 'tick', nowMs: nowMs + 1000}));
+			while (state.admission.running.size > 0) {
+				endOne(0);
+			}
+
+			assert.equal(state.admission.usedPieces, 0);
+			assert.equal(state.admission.waiting.length, 0);
+		}), {seed: SEED, numRuns: 300});
+	});
+});
--- a/packages/core/src/admission/admissionHandlers.ts
+++ b/packages/core/src/admission/admissionHandlers.ts
@@ -1,4 +1,5 @@
 import {createFailure, ERROR_CODES, type ErrorCode} from '@damaskspool/shared';
+import {recordEnded, recordStarted} from '../limits/virtualTokenCounters.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type SidecarEffect} from '../reducer/sidecarEffects.js';
 import {type SidecarEvent} from '../reducer/sidecarEvents.js';
@@ -6,6 +7,7 @@
 import {
 	type AdmissionState, countPieces, isFitting, type Work,
 } from './admissionState.js';
+import {holdWork, pickDisplacedWork, pickNextWork} from './waitingQueue.js';
 
 /** Time after which a caller may try a full queue again. */
 const QUEUE_RETRY_AFTER_MS = 500;
@@ -14,12 +16,17 @@
 export const admissionHandlers: HandlerTable<SidecarState, SidecarEvent, SidecarEffect> = {
 	'work.received'({admission}, {work, nowMs}) {
 		const refusal = findRefusal(admission, work, nowMs);
-		if (refusal !== undefined) {
+		const displaced = refusal === ERROR_CODES.queueFull ? pickDisplacedWork(admission, work) : undefined;
+		if (refusal !== undefined && displaced === undefined) {
 			return [refuseWork(work, refusal)];
 		}
 
-		admission.waiting.push(work);
-		return startFittingWork(admission);
+		admission.waiting = admission.waiting.filter(waiting => waiting !== displaced);
+		holdWork(admission, work);
+		return [
+			...displaced === undefined ? [] : [refuseWork(displaced, ERROR_CODES.queueFull)],
+			...startFittingWork(admission),
+		];
 	},
 
 	'work.answered'({admission}, {attemptId}) {
@@ -30,7 +37,7 @@
 
 	'work.ended'({admission}, {attemptId, generatedTokens}) {
 		admission.generatedTokensTotal += generatedTokens;
-		releaseWork(admission, attemptId);
+		releaseWork(admission, attemptId, generatedTokens);
 		return startFittingWork(admission);
 	},
 
@@ -40,7 +47,8 @@
 		}
 
 		admission.waiting = admission.waiting.filter(work => work.attemptId !== attemptId);
-		return [];
+		// What left may have been too large for the memory that is free, and smaller work behind it not.
+		return startFittingWork(admission);
 	},
 
 	'target.reported'({admission}, event) {
@@ -83,11 +91,11 @@
 	return {type: 'work.refuse', attemptId: work.attemptId, failure};
 }
 
-/** Starts waiting work, interactive before batch and else in order of arrival, while it fits. */
+/** Starts waiting work while the next one fits. Work that does not fit is not passed by, or large work would starve. */
 function startFittingWork(admission: AdmissionState): readonly SidecarEffect[] {
 	const effects: SidecarEffect[] = [];
 	for (;;) {
-		const next = admission.waiting.find(work => work.priority === 'interactive') ?? admission.waiting[0];
+		const next = pickNextWork(admission);
 		if (next === undefined || !isFitting(admission, next)) {
 			return effects;
 		}
@@ -95,12 +103,13 @@
 		admission.waiting.splice(admission.waiting.indexOf(next), 1);
 		admission.running.set(next.attemptId, next);
 		admission.usedPieces += countPieces(next);
+		recordStarted(admission.counters, next);
 		admission.prefillingTokens.set(next.attemptId, next.prefillTokens);
 		effects.push({type: 'work.start', attemptId: next.attemptId});
 	}
 }
 
-function releaseWork(admission: AdmissionState, attemptId: string): void {
+function releaseWork(admission: AdmissionState, attemptId: string, generatedTokens: number): void {
 	const work = admission.running.get(attemptId);
 	if (work === undefined) {
 		return;
@@ -109,4 +118,8 @@
 	admission.running.delete(attemptId);
 	admission.prefillingTokens.delete(attemptId);
 	admission.usedPieces -= countPieces(work);
+	recordEnded(admission.counters, work, generatedTokens);
+	if (admission.running.size + admission.waiting.length === 0) {
+		admission.counters.clear();
+	}
 }
--- a/packages/core/src/admission/admissionState.ts
+++ b/packages/core/src/admission/admissionState.ts
@@ -1,12 +1,15 @@
 import {
 	type LoadReport, type TargetRole, type TargetState, TOKENS_PER_MEMORY_PIECE,
 } from '@damaskspool/shared';
+import {type VirtualTokenCounters} from '../limits/virtualTokenCounters.js';
 
 /** A piece of work that asks to run on the sidecar's target. */
 export type Work = {
 	readonly requestId: string;
 	readonly attemptId: string;
 	readonly customerId: string;
+	/** Share of the customer in fair queueing; 1 where left out. */
+	readonly weight?: number;
 	readonly priority: 'interactive' | 'batch';
 	readonly promptTokens: number;
 	/** Prompt tokens that the entry expects not to be in the target's prefix cache. */
@@ -35,6 +38,7 @@
 	models: string[];
 	running: Map<string, Work>;
 	waiting: Work[];
+	counters: VirtualTokenCounters;
 	usedPieces: number;
 	/** Prompt tokens of running work that has produced no token yet. */
 	prefillingTokens: Map<string, number>;
--- /dev/null
+++ b/packages/core/src/admission/waitingQueue.ts
@@ -0,0 +1,60 @@
+import {recordActive} from '../limits/virtualTokenCounters.js';
+import {type AdmissionState, type Work} from './admissionState.js';
+
+/**
+ * Takes work into the queue, and lifts the counter of a customer that was idle.
+ *
+ * @param admission - state to change
+ * @param work - work that was not refused
+ */
+export function holdWork(admission: AdmissionState, work: Work): void {
+	const activeIds = new Set([...admission.waiting, ...admission.running.values()].map(({customerId}) => customerId));
+	if (!activeIds.has(work.customerId)) {
+		recordActive(admission.counters, work.customerId, activeIds);
+	}
+
+	admission.waiting.push(work);
+}
+
+/**
+ * Picks the work that starts next: interactive before batch, then the customer
+ * that was served least, then the oldest.
+ *
+ * @param admission - state of the sidecar
+ * @returns the work, or undefined where none waits
+ */
+export function pickNextWork({waiting, counters}: AdmissionState): Work | undefined {
+	const interactive = waiting.filter(work => work.priority === 'interactive');
+	let best: Work | undefined;
+	let bestCounter = Number.POSITIVE_INFINITY;
+	for (const work of interactive.length > 0 ? interactive : waiting) {
+		const counter = counters.get(work.customerId) ?? 0;
+		if (counter < bestCounter) {
+			best = work;
+			bestCounter = counter;
+		}
+	}
+
+	return best;
+}
+
+/**
+ * Picks the work that leaves a full queue for new work: the newest of the
+ * customer that has most waiting, if that is more than the new work's customer
+ * would then have. So one customer cannot keep the others out.
+ *
+ * @param admission - state of a sidecar whose queue is full
+ * @param work - the new work
+ * @returns the work to refuse, or undefined where the new work is refused itself
+ */
+export function pickDisplacedWork({waiting}: AdmissionState, work: Work): Work | undefined {
+	const counts = new Map<string, number>();
+	for (const {customerId} of waiting) {
+		counts.set(customerId, (counts.get(customerId) ?? 0) + 1);
+	}
+
+	const [largestId, largest] = [...counts].toSorted((left, right) => right[1] - left[1])[0] ?? ['', 0];
+	return largest > (counts.get(work.customerId) ?? 0) + 1
+		? waiting.findLast(({customerId}) => customerId === largestId)
+		: undefined;
+}
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -13,6 +13,8 @@
 	readonly targetId: string;
 	readonly address: string;
 	readonly customerId: string;
+	/** Share of the customer in fair queueing. */
+	readonly weight: number;
 	readonly serviceId: string;
 	/** Prompt tokens that are expected not to be in the target's prefix cache. */
 	readonly prefillTokens: number;
--- a/packages/core/src/reducer/sidecarState.ts
+++ b/packages/core/src/reducer/sidecarState.ts
@@ -46,6 +46,7 @@
 			models: [],
 			running: new Map(),
 			waiting: [],
+			counters: new Map(),
 			usedPieces: 0,
 			prefillingTokens: new Map(),
 			prefillTokensTotal: 0,
--- a/packages/core/src/request/__tests__/requestHandlers.test.ts
+++ b/packages/core/src/request/__tests__/requestHandlers.test.ts
@@ -73,6 +73,24 @@
 		}), {seed: SEED, numRuns: 500});
 	});
 
+	it('is neither answered nor failed by what comes late of an earlier attempt', () => {
+		const state = createReadyState();
+		const [first] = reduceEntry(state, {type: 'request.received', nowMs: 1, facts: createFacts()});
+		assert.ok(first?.type === 'attempt.send');
+		const {requestId, attemptId} = first;
+		const failed: EntryEvent = {
+			type: 'attempt.failed', nowMs: 2, requestId, attemptId, load: undefined, isTargetFault: true,
+			failure: createFailure(ERROR_CODES.targetFailed, {outcome: OUTCOMES.refusedUnknown}),
+		};
+		const [second] = reduceEntry(state, failed);
+		assert.ok(second?.type === 'attempt.send');
+		const late = [failed, {
+			type: 'attempt.finished', nowMs: 3, requestId, attemptId, generatedTokens: 1,
+		} as const].flatMap(event => reduceEntry(state, event));
+		assert.deepEqual(late, []);
+		assert.equal(state.requests.get(requestId)?.attempt?.attemptId, second.attemptId);
+	});
+
 	it('is refused without an attempt where the key is missing, unknown or for no such model', () => {
 		const cases = [
 			[createFacts({keyHash: undefined}), ERROR_CODES.keyMissing],
--- a/packages/core/src/request/requestHandlers.ts
+++ b/packages/core/src/request/requestHandlers.ts
@@ -245,6 +245,7 @@
 		targetId: target.targetId,
 		address: target.address,
 		customerId: record.customerId,
+		weight: state.configuration.customers.get(record.customerId)?.weight ?? 1,
 		serviceId: service.serviceId,
 		prefillTokens,
 		remainingMs: record.deadlineAtMs - nowMs,
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -96,6 +96,7 @@
 		[HEADERS.entryId]: entryId,
 		[HEADERS.usage]: usageHeader,
 		[HEADERS.customerId]: effect.customerId,
+		[HEADERS.weight]: String(effect.weight),
 		[HEADERS.serviceId]: effect.serviceId,
 		[HEADERS.priority]: facts.priority,
 		[HEADERS.remainingMs]: String(Math.floor(effect.remainingMs)),
--- a/packages/shared/src/headers.ts
+++ b/packages/shared/src/headers.ts
@@ -6,6 +6,8 @@
 	attemptId: 'x-damaskspool-attempt-id',
 	/** Customer for whom the request runs. */
 	customerId: 'x-damaskspool-customer',
+	/** Share of the customer in fair queueing. */
+	weight: 'x-damaskspool-weight',
 	/** Service that the request asks for. */
 	serviceId: 'x-damaskspool-service',
 	/** `interactive` or `batch`. */
