Keep ledgers within one object at the design's size, and measure queries and seals

Cause: rows as JSON objects made the ledger of an entry that serves all 6,700 customers larger than a megabyte, and sealing a region held all rows of all ledgers at once.

Change: ledgers store rows as arrays; the seal adds rows up as it reads.

--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -26,6 +26,10 @@
 		const {runOverhead} = await import('./experiments/overhead.js');
 		return runOverhead;
 	},
+	async query() {
+		const {runQueryExperiment} = await import('./experiments/query.js');
+		return runQueryExperiment;
+	},
 };
 
 const [name = '', ...argv] = process.argv.slice(2);
--- a/packages/core/src/burn/burnState.ts
+++ b/packages/core/src/burn/burnState.ts
@@ -121,7 +121,7 @@
 
 	tally.lastAtMs = nowMs;
 	for (const name of Object.keys(BURN_WINDOWS) as BurnWindowName[]) {
-		addToSlot(tally.slots[name], name, counts, nowMs);
+		recordInSlot(tally.slots[name], name, counts, nowMs);
 	}
 
 	if (cause !== undefined) {
@@ -157,7 +157,7 @@
 	}
 }
 
-function addToSlot(kept: BurnSlot[], name: BurnWindowName, counts: BurnCounts, nowMs: number): void {
+function recordInSlot(kept: BurnSlot[], name: BurnWindowName, counts: BurnCounts, nowMs: number): void {
 	const {slotMs, slots} = BURN_WINDOWS[name];
 	const index = Math.floor(nowMs / slotMs);
 	const last = kept.at(-1);
--- a/packages/core/src/query/planCommand.ts
+++ b/packages/core/src/query/planCommand.ts
@@ -103,18 +103,18 @@
 		[option, LIST_OPTIONS.has(option) && !Array.isArray(value) ? [String(value)] : value]));
 	return plan(document, {...command, options}).andThen(edit => applyEdits(document, [edit]).map(after => ({
 		edits: [edit],
-		preview: describeDifference(document, after),
+		preview: formatDifference(document, after),
 	})));
 }
 
-function describeDifference(before: ConfigurationDocument, after: ConfigurationDocument): string[] {
+function formatDifference(before: ConfigurationDocument, after: ConfigurationDocument): string[] {
 	return [
-		...describeList(
+		...formatListDifference(
 			'customer',
 			new Map(before.customers.map(customer => [customer.customerId, JSON.stringify(customer)])),
 			new Map(after.customers.map(customer => [customer.customerId, JSON.stringify(customer)])),
 		),
-		...describeList(
+		...formatListDifference(
 			'service',
 			new Map(before.services.map(service => [service.serviceId, JSON.stringify(service)])),
 			new Map(after.services.map(service => [service.serviceId, JSON.stringify(service)])),
@@ -122,7 +122,7 @@
 	];
 }
 
-function describeList(thing: string, before: ReadonlyMap<string, string>, after: ReadonlyMap<string, string>): string[] {
+function formatListDifference(thing: string, before: ReadonlyMap<string, string>, after: ReadonlyMap<string, string>): string[] {
 	const lines: string[] = [];
 	for (const id of new Set([...before.keys(), ...after.keys()])) {
 		const [old, now] = [before.get(id), after.get(id)];
--- a/packages/core/src/usage/entryUsage.ts
+++ b/packages/core/src/usage/entryUsage.ts
@@ -5,7 +5,9 @@
 } from '@damaskspool/shared';
 import {type CallUsage, type UsageCall, type UsageReply} from './usageCalls.js';
 import {mergeUsageCounts} from './usageCounts.js';
-import {createUsageLedger, isAccounted, settleAttempts} from './usageLedger.js';
+import {
+	createUsageLedger, isAccounted, settleAttempts, toStoredLedger,
+} from './usageLedger.js';
 
 /** Times that a sidecar is asked for its figures before the entry's own stand alone. */
 const ASK_LIMIT = 3;
@@ -136,12 +138,12 @@
 	settle(state, pending, reply) {
 		const figures = reply.status === 'ok' ? usageFiguresSchema.safeParse(reply.value).data : undefined;
 		if (figures === undefined) {
-			keepAcknowledgements(state, pending.address, pending.settled);
+			holdAcknowledgements(state, pending.address, pending.settled);
 		} else {
 			applyFigures(state, figures);
 		}
 
-		finalizeUnanswered(state, pending.asked);
+		settleUnanswered(state, pending.asked);
 		return state.calls.size === 0 ? storeLedger(state) : [];
 	},
 
@@ -214,7 +216,7 @@
 }
 
 /** A sidecar that is gone answers no more: after some tries the entry's own figures stand. */
-function finalizeUnanswered(state: EntryUsageState, asked: readonly number[]): void {
+function settleUnanswered(state: EntryUsageState, asked: readonly number[]): void {
 	for (const sequence of asked) {
 		const metered = state.attempts.get(sequence);
 		if (metered !== undefined && !metered.isFinal) {
@@ -225,7 +227,7 @@
 }
 
 /** Keeps what a sidecar was not told; one that stays away is not told, as its own report is found to be settled. */
-function keepAcknowledgements(state: EntryUsageState, address: string, settled: readonly number[]): void {
+function holdAcknowledgements(state: EntryUsageState, address: string, settled: readonly number[]): void {
 	const isAwaited = [...state.attempts.values()].some(metered => metered.address === address);
 	if (isAwaited && settled.length > 0) {
 		state.acknowledgements.set(address, [...settled, ...(state.acknowledgements.get(address) ?? [])]);
@@ -250,7 +252,7 @@
 
 function startStore(state: EntryUsageState, ledger: UsageLedger): CallUsage {
 	return startCall(state, {purpose: 'store', ledger}, {
-		kind: 'write', key: toLedgerKey(state.region, state.ledgerId), value: ledger, version: state.version,
+		kind: 'write', key: toLedgerKey(state.region, state.ledgerId), value: toStoredLedger(ledger), version: state.version,
 	});
 }
 
--- a/packages/core/src/usage/sidecarUsage.ts
+++ b/packages/core/src/usage/sidecarUsage.ts
@@ -123,7 +123,7 @@
  * @returns calls to make
  */
 export function advanceOrphans(state: SidecarUsageState, nowMs: number, isStopping: boolean): CallUsage[] {
-	forgetStored(state, nowMs);
+	expireStored(state, nowMs);
 	if (state.writing === undefined) {
 		const attempts = [...state.attempts.values()]
 			.filter(({endedAtMs, isStored}) =>
@@ -192,7 +192,7 @@
 	return [...state.attempts.values()].every(attempt => attempt.isStored);
 }
 
-function forgetStored(state: SidecarUsageState, nowMs: number): void {
+function expireStored(state: SidecarUsageState, nowMs: number): void {
 	const keepMs = state.orphanAfterMs * KEEP_FACTOR;
 	for (const [key, {endedAtMs, isStored}] of state.attempts) {
 		if (isStored && endedAtMs !== undefined && endedAtMs + keepMs <= nowMs) {
--- a/packages/core/src/usage/usageCounts.ts
+++ b/packages/core/src/usage/usageCounts.ts
@@ -1,9 +1,4 @@
-import {type UsageCounts, type UsageRow} from '@damaskspool/shared';
-
-/** Names of all amounts, in the order in which reports show them. */
-export const USAGE_AMOUNTS = [
-	'requests', 'calls', 'promptTokens', 'repeatedPromptTokens', 'cachedTokens', 'generatedTokens', 'targetMs',
-] as const satisfies ReadonlyArray<keyof UsageCounts>;
+import {USAGE_AMOUNTS, type UsageCounts, type UsageRow} from '@damaskspool/shared';
 
 /**
  * Creates counts from some amounts.
@@ -51,6 +46,30 @@
 	return merged;
 }
 
+/** Sums by customer, service and window. */
+export type UsageSums = Map<string, UsageRow>;
+
+/**
+ * Adds rows to sums, in place: a window of a region may have a million rows.
+ *
+ * @param sums - sums to change
+ * @param rows - rows to add; they are left as they are
+ */
+export function mergeUsageRows(sums: UsageSums, rows: readonly UsageRow[]): void {
+	for (const row of rows) {
+		const key = `${row.customerId}\n${row.serviceId}\n${row.servedIn}`;
+		const sum = sums.get(key);
+		if (sum === undefined) {
+			sums.set(key, {...row});
+			continue;
+		}
+
+		for (const amount of USAGE_AMOUNTS) {
+			sum[amount] += row[amount];
+		}
+	}
+}
+
 /**
  * Sums rows of the same customer, service and window.
  *
@@ -58,12 +77,7 @@
  * @returns one row for each customer, service and window
  */
 export function sumUsageRows(rows: readonly UsageRow[]): UsageRow[] {
-	const byKey = new Map<string, UsageRow>();
-	for (const row of rows) {
-		const key = JSON.stringify([row.customerId, row.serviceId, row.servedIn]);
-		const known = byKey.get(key);
-		byKey.set(key, known === undefined ? row : {...known, ...sumUsageCounts([known, row])});
-	}
-
-	return [...byKey.values()];
+	const sums: UsageSums = new Map();
+	mergeUsageRows(sums, rows);
+	return [...sums.values()];
 }
--- a/packages/core/src/usage/usageLedger.ts
+++ b/packages/core/src/usage/usageLedger.ts
@@ -1,4 +1,6 @@
-import {type AttemptUsage, type UsageLedger, type UsageRow} from '@damaskspool/shared';
+import {
+	type AttemptUsage, type StoredUsageLedger, USAGE_AMOUNTS, type UsageLedger, type UsageRow,
+} from '@damaskspool/shared';
 import {hasSequence, mergeSequences} from './sequenceRanges.js';
 import {sumUsageRows} from './usageCounts.js';
 
@@ -14,6 +16,24 @@
 	};
 }
 
+/**
+ * Puts a ledger into the form in which it is stored.
+ *
+ * @param ledger - the ledger
+ * @returns its compact form, which the schema reads back
+ */
+export function toStoredLedger(ledger: UsageLedger): StoredUsageLedger {
+	return {
+		...ledger,
+		open: ledger.open.map(row => toStoredRow(row)),
+		frozen: ledger.frozen.map(({window, rows}) => ({window, rows: rows.map(row => toStoredRow(row))})),
+	};
+}
+
+function toStoredRow(row: UsageRow): StoredUsageLedger['open'][number] {
+	return [row.customerId, row.serviceId, row.servedIn, ...USAGE_AMOUNTS.map(amount => row[amount])];
+}
+
 /**
  * Tells whether an attempt's usage is in a ledger, by whichever way it came.
  *
@@ -41,7 +61,7 @@
 	};
 }
 
-/** Options of {@link freezeLedger}. */
+/** Options of {@link planFrozenLedger}. */
 export type FreezeLedgerOptions = {
 	readonly ledger: UsageLedger;
 	readonly window: number;
@@ -60,7 +80,7 @@
  * @param options - ledger, window, what sidecars stored, and earlier seals
  * @returns the ledger to store, or the same object where nothing is to change
  */
-export function freezeLedger(options: FreezeLedgerOptions): UsageLedger {
+export function planFrozenLedger(options: FreezeLedgerOptions): UsageLedger {
 	const {ledger, window, orphans, isSealed} = options;
 	if (ledger.frozenThrough >= window) {
 		return ledger;
--- a/packages/core/src/usage/usageSealer.ts
+++ b/packages/core/src/usage/usageSealer.ts
@@ -12,8 +12,10 @@
 import {
 	type CallUsage, type UsageCall, type UsageObject, type UsageReply,
 } from './usageCalls.js';
-import {sumUsageCounts, sumUsageRows} from './usageCounts.js';
-import {createUsageLedger, freezeLedger, isAccounted} from './usageLedger.js';
+import {mergeUsageRows, sumUsageCounts, type UsageSums} from './usageCounts.js';
+import {
+	createUsageLedger, planFrozenLedger, isAccounted, toStoredLedger,
+} from './usageLedger.js';
 import {findUsageWindow, planUsageParts} from './usageWindows.js';
 
 /** Windows after its last change at which a ledger's missing attempts are given up and declared. */
@@ -45,7 +47,7 @@
 	orphanObjects: Array<{readonly key: string; readonly version: number; readonly attempts: readonly AttemptUsage[]}>;
 	ledger: UsageLedger;
 	ledgerVersion: number;
-	rows: UsageRow[];
+	sums: UsageSums;
 	sources: string[];
 	unaccounted: UsageSeal['unaccounted'];
 	/** Attempts of sidecars that are in some ledger now, as `ledger;sequence`. */
@@ -209,7 +211,7 @@
 			return readNextLedger(state);
 		}
 
-		return acceptLedger(state);
+		return applyLedger(state);
 	},
 
 	removeLedger(state) {
@@ -218,7 +220,7 @@
 		return startCall(state, 'removeName', {kind: 'remove', key, version: nameVersions.get(ledger.ledgerId) ?? 0});
 	},
 
-	removeName: state => nextLedger(state),
+	removeName: state => advanceLedger(state),
 
 	writePart(state) {
 		getPass(state).partIndex += 1;
@@ -323,7 +325,7 @@
 		orphanObjects: [],
 		ledger: createUsageLedger(''),
 		ledgerVersion: 0,
-		rows: [],
+		sums: new Map(),
 		sources: [],
 		unaccounted: [],
 		resolved: new Set(),
@@ -336,29 +338,28 @@
 	const pass = getPass(state);
 	const ledgerId = pass.ledgerIds[0];
 	if (ledgerId === undefined) {
-		pass.rows = sumUsageRows(pass.rows);
-		pass.parts = planUsageParts(pass.rows);
+		pass.parts = planUsageParts([...pass.sums.values()]);
 		return writeNextPart(state);
 	}
 
 	return startCall(state, 'readLedger', {kind: 'read', key: toLedgerKey(state.region, ledgerId)});
 }
 
-function nextLedger(state: UsageSealerState): CallUsage[] {
+function advanceLedger(state: UsageSealerState): CallUsage[] {
 	getPass(state).ledgerIds.shift();
 	return readNextLedger(state);
 }
 
 function startFreeze(state: UsageSealerState): CallUsage[] {
 	const pass = getPass(state);
-	const frozen = freezeLedger({
+	const frozen = planFrozenLedger({
 		ledger: pass.ledger,
 		window: pass.window,
 		orphans: pass.orphanObjects.flatMap(({attempts}) => attempts).filter(({ledgerId}) => ledgerId === pass.ledger.ledgerId),
 		isSealed: window => pass.sourcesByWindow.get(window)?.has(pass.ledger.ledgerId) ?? false,
 	});
 	if (frozen === pass.ledger) {
-		return acceptLedger(state);
+		return applyLedger(state);
 	}
 
 	pass.ledger = frozen;
@@ -375,17 +376,17 @@
 function writeFrozen(state: UsageSealerState): CallUsage[] {
 	const {ledger, ledgerVersion} = getPass(state);
 	return startCall(state, 'writeLedger', {
-		kind: 'write', key: toLedgerKey(state.region, ledger.ledgerId), value: ledger, version: ledgerVersion,
+		kind: 'write', key: toLedgerKey(state.region, ledger.ledgerId), value: toStoredLedger(ledger), version: ledgerVersion,
 	});
 }
 
 /** Takes a ledger's frozen rows into the figures, once they are stored as frozen. */
-function acceptLedger(state: UsageSealerState): CallUsage[] {
+function applyLedger(state: UsageSealerState): CallUsage[] {
 	const pass = getPass(state);
 	const {ledger, window, orphanObjects} = pass;
 	const frozen = ledger.frozen.find(part => part.window === window);
 	if (frozen !== undefined) {
-		pass.rows.push(...frozen.rows);
+		mergeUsageRows(pass.sums, frozen.rows);
 		pass.sources.push(ledger.ledgerId);
 	}
 
@@ -407,7 +408,7 @@
 		});
 	}
 
-	return nextLedger(state);
+	return advanceLedger(state);
 }
 
 function writeNextPart(state: UsageSealerState): CallUsage[] {
@@ -431,7 +432,7 @@
 		sealId: pass.sealId,
 		partCount: pass.parts.length,
 		sources: pass.sources,
-		totals: sumUsageCounts(pass.rows),
+		totals: sumUsageCounts([...pass.sums.values()]),
 		unaccounted: pass.unaccounted,
 	};
 }
--- a/packages/core/src/usage/usageWindows.ts
+++ b/packages/core/src/usage/usageWindows.ts
@@ -23,8 +23,8 @@
  */
 export function planUsageParts(rows: readonly UsageRow[], limitBytes = PART_LIMIT_BYTES): UsageRow[][] {
 	const sorted = rows.toSorted((left, right) =>
-		left.customerId.localeCompare(right.customerId, 'en')
-		|| left.serviceId.localeCompare(right.serviceId, 'en')
+		compareTexts(left.customerId, right.customerId)
+		|| compareTexts(left.serviceId, right.serviceId)
 		|| left.servedIn - right.servedIn);
 	const parts: UsageRow[][] = [];
 	let sizeBytes = Number.POSITIVE_INFINITY;
@@ -42,3 +42,8 @@
 
 	return parts;
 }
+
+/** By code unit: thousands of rows are sorted on the loop that serves requests. */
+function compareTexts(left: string, right: string): number {
+	return left === right ? 0 : (left < right ? -1 : 1);
+}
--- a/packages/daemon/src/entry/createOperatorPart.ts
+++ b/packages/daemon/src/entry/createOperatorPart.ts
@@ -47,7 +47,7 @@
 	const listOwnRows = (source: QuerySourceName): QueryRow[] =>
 		source === 'events' ? decisions.listRows() : listStateRows(readState(), source, readClock());
 
-	const askPeers = async (method: string, parameters: unknown, authorization: string | undefined) => {
+	const callPeers = async (method: string, parameters: unknown, authorization: string | undefined) => {
 		const peers = [...readState().membership.peers.values()];
 		return Promise.all(peers.map(async ({instanceId, address}) => ({
 			instanceId, reply: await rpc.call(address, method, parameters, authorization),
@@ -63,7 +63,7 @@
 		return source === 'usage' ? rows.map(row => toUsageQueryRow(row)) : toCostRows(rows, settings.targetPricePerHour);
 	};
 
-	const gatherRows = async (source: QuerySourceName, authorization: string | undefined): Promise<QueryReply> => {
+	const listAllRows = async (source: QuerySourceName, authorization: string | undefined): Promise<QueryReply> => {
 		const {scope} = QUERY_SOURCES[source];
 		if (scope === 'store') {
 			return {rows: await readStoredRows(source), missing: []};
@@ -76,7 +76,7 @@
 
 		const missing: string[] = [];
 		const parts: QueryRow[][] = [own];
-		for (const {instanceId, reply} of await askPeers('operator.rows', {source}, authorization)) {
+		for (const {instanceId, reply} of await callPeers('operator.rows', {source}, authorization)) {
 			const rows = reply.ok ? rowsSchema.safeParse(reply.val).data : undefined;
 			if (rows === undefined) {
 				missing.push(instanceId);
@@ -98,7 +98,7 @@
 			dispatch({type: 'target.drainRequested', targetId});
 		}
 
-		const others = isOwn ? [] : await askPeers('operator.drainTarget', {targetId}, authorization);
+		const others = isOwn ? [] : await callPeers('operator.drainTarget', {targetId}, authorization);
 		if (!isOwn && !others.some(({reply}) => reply.ok && drainReplySchema.safeParse(reply.val).data?.isOrdered)) {
 			throw new Error('no entry holds the duty for the target\'s availability zone now; nothing was ordered');
 		}
@@ -112,7 +112,7 @@
 			async 'operator.query'(parameters, rpcContext) {
 				assertOperator(context, rpcContext);
 				const {query} = queryParametersSchema.parse(parameters);
-				const {rows, missing} = await gatherRows(sourceSchema.parse(query.source), rpcContext.authorization);
+				const {rows, missing} = await listAllRows(sourceSchema.parse(query.source), rpcContext.authorization);
 				return {rows: runQuery(rows, query), missing};
 			},
 			'operator.rows'(parameters, rpcContext) {
--- a/packages/daemon/src/entry/createUsagePart.ts
+++ b/packages/daemon/src/entry/createUsagePart.ts
@@ -1,6 +1,6 @@
 import {findUsageWindow, type SendAttempt} from '@damaskspool/core';
 import {type UsageCounts} from '@damaskspool/shared';
-import {carryOutUsageCall} from '../carryOutUsageCall.js';
+import {runUsageCall} from '../runUsageCall.js';
 import {createUsageMeter, type UsageMeter} from '../usageMeter.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 
@@ -66,7 +66,7 @@
 		effectHandlers: {
 			'usage.call'({callId, call}) {
 				void (async () => {
-					dispatch({type: 'usage.replied', callId, reply: await carryOutUsageCall(call, context)});
+					dispatch({type: 'usage.replied', callId, reply: await runUsageCall(call, context)});
 				})();
 			},
 		},
--- a/packages/daemon/src/carryOutUsageCall.ts
+++ b/packages/daemon/src/runUsageCall.ts
@@ -52,7 +52,7 @@
  * @param context - clients and clock
  * @returns what became of it; never rejects
  */
-export async function carryOutUsageCall(call: UsageCall, context: UsageCallContext): Promise<UsageReply> {
+export async function runUsageCall(call: UsageCall, context: UsageCallContext): Promise<UsageReply> {
 	const carryOut = CALL_HANDLERS[call.kind] as (call: UsageCall, context: UsageCallContext) => Promise<UsageReply>;
 	return carryOut(call, context);
 }
--- a/packages/daemon/src/sidecar/createSidecarUsagePart.ts
+++ b/packages/daemon/src/sidecar/createSidecarUsagePart.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {isSidecarUsageStored, selectFigures, type Work} from '@damaskspool/core';
 import {HEADERS, usageSettlementSchema} from '@damaskspool/shared';
-import {carryOutUsageCall, USAGE_SETTLE_METHOD} from '../carryOutUsageCall.js';
+import {runUsageCall, USAGE_SETTLE_METHOD} from '../runUsageCall.js';
 import {createUsageMeter, type UsageMeter} from '../usageMeter.js';
 import {type SidecarContext, type SidecarPart} from './sidecarPart.js';
 
@@ -62,7 +62,7 @@
 		effectHandlers: {
 			'usage.call'({callId, call}) {
 				void (async () => {
-					dispatch({type: 'usage.replied', callId, reply: await carryOutUsageCall(call, context)});
+					dispatch({type: 'usage.replied', callId, reply: await runUsageCall(call, context)});
 				})();
 			},
 		},
--- a/packages/runtime/src/histograms.ts
+++ b/packages/runtime/src/histograms.ts
@@ -36,7 +36,7 @@
 	return measures.map(measure => {
 		const sum = build({bitBucketSize: 32, numberOfSignificantValueDigits: 2, autoResize: true});
 		for (const histograms of processes) {
-			addHistogram(sum, histograms[measure]);
+			mergeHistogram(sum, histograms[measure]);
 		}
 
 		const read = (quantile: number) => sum.getValueAtPercentile(quantile) / MICROSECONDS_PER_MS;
@@ -46,7 +46,7 @@
 	});
 }
 
-function addHistogram(sum: Histogram, text: string | undefined): void {
+function mergeHistogram(sum: Histogram, text: string | undefined): void {
 	if (text === undefined) {
 		return;
 	}
--- a/packages/shared/src/usageDocuments.ts
+++ b/packages/shared/src/usageDocuments.ts
@@ -33,6 +33,26 @@
 /** See {@link usageRowSchema}. */
 export type UsageRow = z.infer<typeof usageRowSchema>;
 
+/** Names of all amounts, in the order in which rows are stored and reports show them. */
+export const USAGE_AMOUNTS = [
+	'requests', 'calls', 'promptTokens', 'repeatedPromptTokens', 'cachedTokens', 'generatedTokens', 'targetMs',
+] as const satisfies ReadonlyArray<keyof UsageCounts>;
+
+/** A row as ledgers hold it, without names: an entry that serves every customer stays within the limit of one object. */
+type StoredUsageRow = [customerId: string, serviceId: string, servedIn: number, ...amounts: number[]];
+
+// Checked by hand: a ledger may hold thousands of rows, and is read on the loop that serves requests.
+const storedUsageRowSchema = z.custom<StoredUsageRow>(value => Array.isArray(value)
+	&& value.length === USAGE_AMOUNTS.length + 3
+	&& value.every((cell, index) => typeof cell === (index < 2 ? 'string' : 'number'))).transform(toUsageRow);
+
+function toUsageRow([customerId, serviceId, servedIn, ...amounts]: StoredUsageRow): UsageRow {
+	const [requests = 0, calls = 0, promptTokens = 0, repeatedPromptTokens = 0, cachedTokens = 0, generatedTokens = 0, targetMs = 0] = amounts;
+	return {
+		customerId, serviceId, servedIn, requests, calls, promptTokens, repeatedPromptTokens, cachedTokens, generatedTokens, targetMs,
+	};
+}
+
 /** Sequence numbers as closed ranges, ascending and apart. */
 export const sequenceRangesSchema = z.array(z.tuple([z.number().int(), z.number().int()]));
 
@@ -47,15 +67,17 @@
 	/** Attempts whose usage was taken from the sidecar, as the entry had not stored it. */
 	claimed: sequenceRangesSchema,
 	/** Usage that is in no window yet. */
-	open: z.array(usageRowSchema),
+	open: z.array(storedUsageRowSchema),
 	/** Last window for which usage was set aside: a window is frozen once. */
 	frozenThrough: z.number(),
 	/** Usage set aside for a window; never changed once it is there. */
-	frozen: z.array(z.object({window: z.number(), rows: z.array(usageRowSchema)})),
+	frozen: z.array(z.object({window: z.number(), rows: z.array(storedUsageRowSchema)})),
 });
 
 /** See {@link usageLedgerSchema}. */
-export type UsageLedger = z.infer<typeof usageLedgerSchema>;
+export type UsageLedger = z.output<typeof usageLedgerSchema>;
+/** A ledger in the form in which it is stored. */
+export type StoredUsageLedger = z.input<typeof usageLedgerSchema>;
 
 /** An attempt as its sidecar counted it. */
 export const attemptUsageSchema = usageRowSchema.extend({
