Keep the fleet duty's planner out of the comparison of policies

Cause: since the fleet duty plans by itself, it could change roles beside the experiment's own driver.

--- a/packages/bench/src/experiments/shift/runShift.ts
+++ b/packages/bench/src/experiments/shift/runShift.ts
@@ -53,7 +53,7 @@
 	const running = await startDeployment({
 		deployment: {file, document},
 		engineOptions: SHIFT_ENGINE,
-		entrySettings: {routingPolicy: policy.routing, pollInterval: '250 ms'},
+		entrySettings: {routingPolicy: policy.routing, pollInterval: '250 ms', fleetPlanner: 'off'},
 		sidecarSettings: {reportInterval: '100 ms'},
 	});
 	const engines = running.targets.map(target => target.standIn as Engine);
