Wait for both entries before the status of a revision is judged

Cause: a whole run on a busy machine failed once in 130 tests: the test waited until one of the two connected entries had the revision and then asked for the status, while the other was still a fan-out behind. Ruled out: a wrong status; the reply named the late entry and its reason truthfully.

Change: the test waits for both. The assertion is as it was.

--- a/packages/bench/src/__tests__/withdrawnKey.test.ts
+++ b/packages/bench/src/__tests__/withdrawnKey.test.ts
@@ -145,7 +145,10 @@
 		const rpc = createRpcCaller({timeoutMs: 3000});
 		cutOff([running.entries[2]!], {kind: 'cut'});
 		await withdrawKey(running);
-		await waitFor(async () => await running.readGauge(running.entries[1]!, 'configuration_revision') === 2);
+		for (const entry of running.entries.slice(0, 2)) {
+			await waitFor(async () => await running.readGauge(entry, 'configuration_revision') === 2);
+		}
+
 		const read = await rpc.call(running.entries[0]!.daemon.addresses.control!, 'configuration.status', {revision: 2});
 		await rpc.close();
 		await running.stop();
--- a/packages/bench/src/experiments/capacityInProcess.ts
+++ b/packages/bench/src/experiments/capacityInProcess.ts
@@ -240,7 +240,18 @@
 
 function createLoad(targetId: string): LoadReport {
 	return {
-		targetId, role: 'mixed', state: 'serving', models: ['m'], running: 1, waiting: 0, queuedPrefillTokens: 10, freePieces: 10, totalPieces: 64, prefillTokensTotal: 1, generatedTokensTotal: 1, ageMs: 1,
+		targetId,
+		role: 'mixed',
+		state: 'serving',
+		models: ['m'],
+		running: 1,
+		waiting: 0,
+		queuedPrefillTokens: 10,
+		freePieces: 10,
+		totalPieces: 64,
+		prefillTokensTotal: 1,
+		generatedTokensTotal: 1,
+		ageMs: 1,
 	};
 }
 
