Read the loads of a bounded number of targets, whatever the fleet

Change: core decides whose load is read: targets that the entry chooses among and has not heard of, some of unknown load, its own zone in turn while it holds the duty, and four of the rest. The runtime only calls.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './configuration/spreadState.js';
 export * from './keys/keyFreshness.js';
 export * from './limits/virtualTokenCounters.js';
+export * from './membership/loadReadHandlers.js';
 export * from './membership/membershipHandlers.js';
 export * from './membership/membershipState.js';
 export * from './reducer/createReducer.js';
--- a/packages/core/src/membership/membershipState.ts
+++ b/packages/core/src/membership/membershipState.ts
@@ -29,6 +29,8 @@
 	targets: Map<string, TargetView>;
 	/** Address by instance identifier of every other live entry. */
 	peers: Map<string, InstanceRecord>;
+	/** When the load of each target was last asked for between answers. */
+	readonly loadAskedAtMs: Map<string, number>;
 };
 
 /** First wait after a failure of a target, doubled by each further one. */
@@ -42,7 +44,7 @@
  * @returns an empty membership state
  */
 export function createMembershipState(): MembershipState {
-	return {targets: new Map(), peers: new Map()};
+	return {targets: new Map(), peers: new Map(), loadAskedAtMs: new Map()};
 }
 
 /**
--- a/packages/core/src/reducer/entryEffects.ts
+++ b/packages/core/src/reducer/entryEffects.ts
@@ -27,6 +27,8 @@
 export type RefuseRequest = {readonly type: 'request.refuse'; readonly requestId: string; readonly failure: Failure};
 /** Closes the caller's answer, which is whole. */
 export type CompleteRequest = {readonly type: 'request.complete'; readonly requestId: string};
+/** Asks a sidecar for its load, and for the cache events after those already known. */
+export type ReadLoad = {readonly type: 'load.read'; readonly address: string; readonly afterSequence: number};
 /** Records a decision for logs and `query 'events'`. */
 export type RecordDecision = {
 	readonly type: 'decision.record';
@@ -37,5 +39,5 @@
 
 /** Every effect of an entry. */
 export type EntryEffect
-	= | SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision
+	= | SendAttempt | CancelAttempt | RefuseRequest | CompleteRequest | RecordDecision | ReadLoad
 		| ClaimEffect | ConfigurationEffect | LeaseEffect | FleetEffect | CallUsage;
--- a/packages/core/src/reducer/entryEvents.ts
+++ b/packages/core/src/reducer/entryEvents.ts
@@ -61,6 +61,8 @@
 export type InstancesListed = Timed<'instances.listed', {readonly instances: readonly InstanceRecord[]}>;
 /** A sidecar reported its load. */
 export type LoadReported = Timed<'load.reported', {readonly load: LoadReport}>;
+/** It is time to read loads between answers; each round is an interval after the last. */
+export type LoadReadDue = Timed<'load.readDue', {readonly intervalMs: number}>;
 /** Time passed. */
 export type Tick = Timed<'tick', Record<never, never>>;
 /** The process was told to stop. */
@@ -91,6 +93,6 @@
 /** Every event of an entry. */
 export type EntryEvent
 	= | RequestReceived | AttemptAnswered | AttemptFinished | AttemptFailed | CallerLeft
-		| InstancesListed | LoadReported | Tick | StopRequested | TargetDrainRequested
+		| InstancesListed | LoadReported | LoadReadDue | Tick | StopRequested | TargetDrainRequested
 		| UsageStarted | UsageEnded | UsageFlushDue | UsageSealDue | UsageReplied
 		| ClaimEvent | ConfigurationEvent | LeaseEvent | FleetEvent;
--- a/packages/core/src/reducer/entryReducer.ts
+++ b/packages/core/src/reducer/entryReducer.ts
@@ -5,6 +5,7 @@
 import {fleetHandlers} from '../fleet/fleetHandlers.js';
 import {leaseHandlers} from '../lease/leaseHandlers.js';
 import {spreadHandlers} from '../configuration/spreadHandlers.js';
+import {loadReadHandlers} from '../membership/loadReadHandlers.js';
 import {membershipHandlers} from '../membership/membershipHandlers.js';
 import {demandHandlers} from '../planning/demandHandlers.js';
 import {requestHandlers} from '../request/requestHandlers.js';
@@ -22,6 +23,7 @@
 		configurationHandlers,
 		spreadHandlers,
 		membershipHandlers,
+		loadReadHandlers,
 		requestHandlers,
 		claimHandlers,
 		leaseHandlers,
--- a/packages/core/src/request/__tests__/requestFixtures.ts
+++ b/packages/core/src/request/__tests__/requestFixtures.ts
@@ -1,4 +1,6 @@
-import {type ConfigurationDocument, hashText, type InstanceRecord} from '@damaskspool/shared';
+import {
+	type ConfigurationDocument, hashText, type InstanceRecord, type LoadReport,
+} from '@damaskspool/shared';
 import {type RequestFacts} from '../../reducer/entryEvents.js';
 import {reduceEntry} from '../../reducer/entryReducer.js';
 import {createEntryState, type EntryState} from '../../reducer/entryState.js';
@@ -91,3 +93,26 @@
 		...fields,
 	};
 }
+
+/**
+ * Builds the load report of an idle target.
+ *
+ * @param targetId - the target
+ * @returns its report
+ */
+export function createTestLoad(targetId: string): LoadReport {
+	return {
+		targetId,
+		role: 'mixed',
+		state: 'serving',
+		models: ['m'],
+		running: 0,
+		waiting: 0,
+		queuedPrefillTokens: 0,
+		freePieces: 1,
+		totalPieces: 1,
+		prefillTokensTotal: 0,
+		generatedTokensTotal: 0,
+		ageMs: 0,
+	};
+}
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -80,6 +80,7 @@
 	const configurationPart = createConfigurationPart(context);
 	const leasePart = createLeasePart(context);
 	const fleetPart = createFleetPart(context);
+	const loadPart = createLoadPart(context);
 	const parts: readonly EntryPart[] = [
 		requestPart,
 		claimPart,
@@ -89,7 +90,7 @@
 		fleetPart,
 		usagePart,
 		createInstancesPart(context),
-		createLoadPart(context),
+		loadPart,
 		createOperatorPart(context, decisionPart),
 		createBurnPart(context),
 	];
@@ -104,6 +105,7 @@
 			...leasePart.effectHandlers,
 			...fleetPart.effectHandlers,
 			...usagePart.effectHandlers,
+			...loadPart.effectHandlers,
 		}),
 	});
 
--- a/packages/daemon/src/entry/createLoadPart.ts
+++ b/packages/daemon/src/entry/createLoadPart.ts
@@ -1,21 +1,19 @@
-import {type TargetView} from '@damaskspool/core';
 import {loadReportSchema} from '@damaskspool/shared';
-import {startRepeating} from '../startRepeating.js';
 import {type EntryContext, type EntryPart} from './entryPart.js';
 
 /**
- * Creates the part of an entry that reads load reports of sidecars at an
- * interval, between those that come with answers.
+ * Creates the part of an entry that reads load reports of sidecars between
+ * those that come with answers; core decides whose.
  *
  * @param context - what the entry shares among its parts
  * @returns the part
  */
-export function createLoadPart(context: EntryContext): EntryPart {
-	const {rpc, settings, dispatch, readState} = context;
-	let stop: (() => void) | undefined;
+export function createLoadPart(context: EntryContext): EntryPart<'load.read'> {
+	const {rpc, settings, dispatch} = context;
+	const intervalMs = settings.pollInterval;
+	let timer: NodeJS.Timeout | undefined;
 
-	const readLoad = async ({targetId, address}: TargetView) => {
-		const afterSequence = readState().routing.prefixes.get(targetId)?.lastSequence ?? 0;
+	const readLoad = async (address: string, afterSequence: number) => {
 		const read = await rpc.call(address, 'load.get', {afterSequence});
 		const load = read.ok ? loadReportSchema.safeParse(read.val).data : undefined;
 		if (load !== undefined) {
@@ -23,18 +21,19 @@
 		}
 	};
 
-	const readAll = async () => {
-		const targets = [...readState().membership.targets.values()];
-		await Promise.all(targets.map(async target => readLoad(target)));
-	};
-
 	return {
-		effectHandlers: {},
+		effectHandlers: {
+			'load.read'({address, afterSequence}) {
+				void readLoad(address, afterSequence);
+			},
+		},
 		start() {
-			stop = startRepeating({task: readAll, intervalMs: settings.pollInterval});
+			timer = setInterval(() => {
+				dispatch({type: 'load.readDue', intervalMs});
+			}, intervalMs);
 		},
 		stop() {
-			stop?.();
+			clearInterval(timer);
 		},
 	};
 }
