Split the sealing of usage windows into state, steps and replies

Change: usageSealerState.ts holds the state, usageSealerSteps.ts the steps that each ask for one call, usageSealer.ts the table of replies.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -77,6 +77,7 @@
 export * from './usage/usageCounts.js';
 export * from './usage/usageLedger.js';
 export * from './usage/usageSealer.js';
+export * from './usage/usageSealerState.js';
 export * from './usage/usageWindows.js';
 export * from './query/planCommand.js';
 export * from './query/querySources.js';
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -11,7 +11,7 @@
 import {createRetryState, type RetryState} from '../retries/retryState.js';
 import {type RoutingPolicyName} from '../routing/routingPolicies.js';
 import {createEntryUsageState, type EntryUsageState} from '../usage/entryUsage.js';
-import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealer.js';
+import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealerState.js';
 import {createDemandState, type DemandState} from '../planning/demandHandlers.js';
 import {createRoutingState, type RoutingState} from '../routing/routingState.js';
 
--- a/packages/core/src/usage/__tests__/usageFixtures.ts
+++ b/packages/core/src/usage/__tests__/usageFixtures.ts
@@ -9,9 +9,8 @@
 } from '../sidecarUsage.js';
 import {type CallUsage, type UsageCall, type UsageReply} from '../usageCalls.js';
 import {createUsageCounts} from '../usageCounts.js';
-import {
-	advanceSealer, applySealerReply, createUsageSealerState, type UsageSealerState,
-} from '../usageSealer.js';
+import {advanceSealer, applySealerReply} from '../usageSealer.js';
+import {createUsageSealerState, type UsageSealerState} from '../usageSealerState.js';
 import {findUsageWindow} from '../usageWindows.js';
 
 /** Length of a window in the simulation. */
--- a/packages/core/src/usage/entryUsageHandlers.ts
+++ b/packages/core/src/usage/entryUsageHandlers.ts
@@ -5,7 +5,8 @@
 import {type EntryState} from '../reducer/entryState.js';
 import {advanceEntryFlush, applyEntryReply, recordAttemptEnd} from './entryUsage.js';
 import {createUsageCounts} from './usageCounts.js';
-import {advanceSealer, applySealerReply, type SealerContext} from './usageSealer.js';
+import {advanceSealer, applySealerReply} from './usageSealer.js';
+import {type SealerContext} from './usageSealerState.js';
 
 /** Handlers by which an entry meters, and seals and reports windows where it holds the duty. */
 export const entryUsageHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
--- /dev/null
+++ b/packages/core/src/usage/usageSealerSteps.ts
@@ -0,0 +1,305 @@
+/** The steps of sealing and reporting a window: each changes the pass and asks for one call. */
+import {
+	toLedgerKey, toLedgerNamePrefix, toPartKey, toProgressKey, toSealKey, type UsageProgress, type UsageSeal,
+} from '@damaskspool/shared';
+import {countMissingSequences} from './sequenceRanges.js';
+import {
+	type CallUsage, type UsageCall, type UsageObject, type UsageReply,
+} from './usageCalls.js';
+import {mergeUsageRows, sumUsageCounts} from './usageCounts.js';
+import {
+	createUsageLedger, planFrozenLedger, isAccounted, toStoredLedger,
+} from './usageLedger.js';
+import {type SealerPhase, type SealingPass, type UsageSealerState} from './usageSealerState.js';
+import {findUsageWindow, planUsageParts} from './usageWindows.js';
+
+/** Windows after its last change at which a ledger's missing attempts are given up and declared. */
+const DECLARE_AFTER_WINDOWS = 2;
+/** Windows after its last change at which a ledger is removed; sidecars have long stored their part. */
+const REMOVE_AFTER_WINDOWS = 200;
+
+/**
+ * Seals the next window that is due, else reports the next that is sealed.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function startNextMatter(state: UsageSealerState): CallUsage[] {
+	const {progress, windowMs, region} = state;
+	if (progress.sealedThrough < findLastWindow(state)) {
+		state.pass = createPass(progress.sealedThrough + windowMs, `${state.runId}.${state.callCount}`);
+		return startCall(state, 'listNames', {kind: 'list', prefix: toLedgerNamePrefix(region)});
+	}
+
+	if (progress.reportedThrough < progress.sealedThrough) {
+		return startCall(state, 'readSeal', {kind: 'read', key: toSealKey(region, progress.reportedThrough + windowMs)});
+	}
+
+	endPass(state);
+	return [];
+}
+
+/**
+ * Finds the last window whose counts may be sealed.
+ *
+ * @param state - state of the sealer
+ * @returns start of the window
+ */
+export function findLastWindow({wallMs, graceMs, windowMs}: UsageSealerState): number {
+	return findUsageWindow(wallMs - graceMs, windowMs) - windowMs;
+}
+
+function createPass(window: number, sealId: string): SealingPass {
+	return {
+		window,
+		sealId,
+		sourcesByWindow: new Map(),
+		nameVersions: new Map(),
+		ledgerIds: [],
+		orphanObjects: [],
+		ledger: createUsageLedger(''),
+		ledgerVersion: 0,
+		sums: new Map(),
+		sources: [],
+		unaccounted: [],
+		resolved: new Set(),
+		parts: [],
+		partIndex: 0,
+	};
+}
+
+/**
+ * Reads the next ledger of the pass, or writes the parts where all are read.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function readNextLedger(state: UsageSealerState): CallUsage[] {
+	const pass = getPass(state);
+	const ledgerId = pass.ledgerIds[0];
+	if (ledgerId === undefined) {
+		pass.parts = planUsageParts([...pass.sums.values()]);
+		return writeNextPart(state);
+	}
+
+	return startCall(state, 'readLedger', {kind: 'read', key: toLedgerKey(state.region, ledgerId)});
+}
+
+/**
+ * Goes on from the ledger that is done to the next.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function advanceLedger(state: UsageSealerState): CallUsage[] {
+	getPass(state).ledgerIds.shift();
+	return readNextLedger(state);
+}
+
+/**
+ * Freezes the window in the ledger that was read, or takes in what is frozen already.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function startFreeze(state: UsageSealerState): CallUsage[] {
+	const pass = getPass(state);
+	const frozen = planFrozenLedger({
+		ledger: pass.ledger,
+		window: pass.window,
+		orphans: pass.orphanObjects.flatMap(({attempts}) => attempts).filter(({ledgerId}) => ledgerId === pass.ledger.ledgerId),
+		isSealed: window => pass.sourcesByWindow.get(window)?.has(pass.ledger.ledgerId) ?? false,
+	});
+	if (frozen === pass.ledger) {
+		return applyLedger(state);
+	}
+
+	pass.ledger = frozen;
+	if (pass.ledgerVersion === 0) {
+		const key = `${toLedgerNamePrefix(state.region)}${frozen.ledgerId}`;
+		return startCall(state, 'nameLedger', {
+			kind: 'write', key, value: {}, version: 0,
+		});
+	}
+
+	return writeFrozen(state);
+}
+
+/**
+ * Writes the ledger with the window frozen in it.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function writeFrozen(state: UsageSealerState): CallUsage[] {
+	const {ledger, ledgerVersion} = getPass(state);
+	return startCall(state, 'writeLedger', {
+		kind: 'write', key: toLedgerKey(state.region, ledger.ledgerId), value: toStoredLedger(ledger), version: ledgerVersion,
+	});
+}
+
+/**
+ * Takes the frozen figures of a ledger into the pass.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function applyLedger(state: UsageSealerState): CallUsage[] {
+	const pass = getPass(state);
+	const {ledger, window, orphanObjects} = pass;
+	const frozen = ledger.frozen.find(part => part.window === window);
+	if (frozen !== undefined) {
+		mergeUsageRows(pass.sums, frozen.rows);
+		pass.sources.push(ledger.ledgerId);
+	}
+
+	for (const {ledgerId, sequence} of orphanObjects.flatMap(({attempts}) => attempts)) {
+		if (ledgerId === ledger.ledgerId && isAccounted(ledger, sequence)) {
+			pass.resolved.add(`${ledgerId};${sequence}`);
+		}
+	}
+
+	const idleWindows = (window - ledger.frozenThrough) / state.windowMs;
+	if (idleWindows === DECLARE_AFTER_WINDOWS) {
+		const attempts = countMissingSequences(ledger.settled, ledger.claimed);
+		pass.unaccounted.push(...(attempts > 0 ? [{ledgerId: ledger.ledgerId, attempts}] : []));
+	}
+
+	if (ledger.frozenThrough > 0 && idleWindows >= REMOVE_AFTER_WINDOWS && ledger.open.length === 0) {
+		return startCall(state, 'removeLedger', {
+			kind: 'remove', key: toLedgerKey(state.region, ledger.ledgerId), version: pass.ledgerVersion,
+		});
+	}
+
+	return advanceLedger(state);
+}
+
+/**
+ * Writes the next part of the figures, or the seal after the last.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function writeNextPart(state: UsageSealerState): CallUsage[] {
+	const pass = getPass(state);
+	const seal = createSeal(state, pass);
+	const rows = pass.parts[pass.partIndex];
+	return rows === undefined
+		? startCall(state, 'writeSeal', {
+			kind: 'write', key: toSealKey(state.region, pass.window), value: seal, version: 0,
+		})
+		: startCall(state, 'writePart', {
+			kind: 'write', key: toPartKey(state.region, seal, pass.partIndex), value: {rows}, version: 0,
+		});
+}
+
+function createSeal(state: UsageSealerState, pass: SealingPass): UsageSeal {
+	return {
+		window: pass.window,
+		windowMs: state.windowMs,
+		region: state.region,
+		sealId: pass.sealId,
+		partCount: pass.parts.length,
+		sources: pass.sources,
+		totals: sumUsageCounts([...pass.sums.values()]),
+		unaccounted: pass.unaccounted,
+	};
+}
+
+/**
+ * Removes the next object of sidecars whose attempts are all in ledgers.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function removeNextOrphans(state: UsageSealerState): CallUsage[] {
+	const pass = getPass(state);
+	pass.orphanObjects = pass.orphanObjects.filter(({attempts}) =>
+		attempts.every(({ledgerId, sequence}) => pass.resolved.has(`${ledgerId};${sequence}`)));
+	const object = pass.orphanObjects[0];
+	if (object !== undefined) {
+		return startCall(state, 'removeOrphans', {kind: 'remove', key: object.key, version: object.version});
+	}
+
+	return writeProgress(state, {...state.progress, sealedThrough: pass.window});
+}
+
+/**
+ * Reads the next part of a sealed window, or goes on where all are reported.
+ *
+ * @param state - state of the sealer
+ * @returns calls to make
+ */
+export function readNextPart(state: UsageSealerState): CallUsage[] {
+	const {seal, partIndex} = state.reporting!;
+	if (partIndex < seal.partCount) {
+		return startCall(state, 'readPart', {kind: 'read', key: toPartKey(state.region, seal, partIndex)});
+	}
+
+	state.reporting = undefined;
+	return writeProgress(state, {...state.progress, reportedThrough: seal.window});
+}
+
+/**
+ * Records how far windows are sealed and reported.
+ *
+ * @param state - state of the sealer
+ * @param progress - what is done now
+ * @returns calls to make
+ */
+export function writeProgress(state: UsageSealerState, progress: UsageProgress): CallUsage[] {
+	state.progress = progress;
+	return startCall(state, 'writeProgress', {
+		kind: 'write', key: toProgressKey(state.region), value: progress, version: state.progressVersion,
+	});
+}
+
+/**
+ * Gets the pass under way; without one the state is broken.
+ *
+ * @param state - state of the sealer
+ * @returns the pass
+ */
+export function getPass({pass}: UsageSealerState): SealingPass {
+	if (pass === undefined) {
+		throw new Error('a window is being sealed without a pass');
+	}
+
+	return pass;
+}
+
+/**
+ * Lists the objects of a reply.
+ *
+ * @param reply - reply of a list call
+ * @returns the objects; none where the reply has none
+ */
+export function listObjects(reply: UsageReply): readonly UsageObject[] {
+	return reply.status === 'ok' ? reply.objects ?? [] : [];
+}
+
+/**
+ * Ends the pass; the next begins anew.
+ *
+ * @param state - state of the sealer
+ */
+export function endPass(state: UsageSealerState): void {
+	state.phase = 'idle';
+	state.pass = undefined;
+	state.reporting = undefined;
+}
+
+/**
+ * Starts a call, whose reply the pass waits for.
+ *
+ * @param state - state of the sealer
+ * @param phase - what the reply is for
+ * @param call - the call
+ * @returns the call as an effect
+ */
+export function startCall(state: UsageSealerState, phase: SealerPhase, call: UsageCall): CallUsage[] {
+	state.phase = phase;
+	state.callCount += 1;
+	state.callId = `usage-sealer-${state.callCount}`;
+	return [{type: 'usage.call', callId: state.callId, call}];
+}
