Count object API calls and log decisions in one place, and ask for the lease as of now

Cause: a read through the whole change found the counted client of the object API written out for both roles, logging and remembering of a decision written twice in one part, and a round of load reads that asked whether the duty was held an interval ago instead of now. The last gave no authority to anything: for one interval after a lapse an entry read a few loads more.

Change: createCountedObjectApi serves both roles; one function logs and remembers; the lease is asked for at the present time. No test changes.

--- a/packages/core/src/membership/loadReadHandlers.ts
+++ b/packages/core/src/membership/loadReadHandlers.ts
@@ -16,7 +16,7 @@
 export const loadReadHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
 	'load.readDue'(state, {nowMs, intervalMs}) {
 		const {membership, routing} = state;
-		const chosen = selectLoadReads(state, nowMs - intervalMs);
+		const chosen = selectLoadReads(state, nowMs, nowMs - intervalMs);
 		for (const {targetId} of chosen) {
 			membership.loadAskedAtMs.set(targetId, nowMs);
 		}
@@ -43,10 +43,10 @@
  * nothing of, the own zone in turn while its duty is held, and the rest in turn.
  * The number is bounded, so that the cost does not rise with the fleet.
  */
-function selectLoadReads(state: EntryState, heardBeforeMs: number): readonly TargetView[] {
+function selectLoadReads(state: EntryState, nowMs: number, heardBeforeMs: number): readonly TargetView[] {
 	const {membership, routing, lease, fleet, availabilityZone} = state;
 	const inUse = new Set([...routing.subsets.values()].flat());
-	const isHolder = findHeldDuty(lease, fleet.dutyName, heardBeforeMs) !== undefined;
+	const isHolder = findHeldDuty(lease, fleet.dutyName, nowMs) !== undefined;
 	const inTurn = [...membership.targets.values()]
 		.filter(target => target.load === undefined || target.loadAtMs <= heardBeforeMs)
 		.toSorted((left, right) => readAskedAt(state, left) - readAskedAt(state, right));
--- a/packages/daemon/src/entry/createDecisionPart.ts
+++ b/packages/daemon/src/entry/createDecisionPart.ts
@@ -57,15 +57,16 @@
 		next += 1;
 	};
 
+	const recordLogged = (name: string, subject: string, detail: Detail) => {
+		logger.info(name, {subject, ...detail});
+		record(name, subject, detail);
+	};
+
 	return {
-		record(name, subject, detail) {
-			logger.info(name, {subject, ...detail});
-			record(name, subject, detail);
-		},
+		record: recordLogged,
 		effectHandlers: {
 			'decision.record'({name, subject, detail}) {
-				logger.info(name, {subject, ...detail});
-				record(name, subject, detail);
+				recordLogged(name, subject, detail);
 			},
 		},
 		observe(handlers) {
--- a/packages/daemon/src/entry/createEntry.ts
+++ b/packages/daemon/src/entry/createEntry.ts
@@ -5,9 +5,10 @@
 	createEntryState, type EntryEffect, type EntryEvent, type EntryState, planZone, reduceEntry,
 } from '@damaskspool/core';
 import {
-	createLoop, createMetrics, createObjectApiClient, createRpcCaller, createRpcHandler, listenOn, type Logger, mergeRpcMethods, RPC_PATH,
+	createLoop, createMetrics, createRpcCaller, createRpcHandler, listenOn, type Logger, mergeRpcMethods, RPC_PATH,
 } from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
+import {createCountedObjectApi} from '../createCountedObjectApi.js';
 import {type Daemon} from '../createDaemon.js';
 import {createOperationsHandler} from '../createOperationsHandler.js';
 import {type EntrySettings} from '../settings.js';
@@ -50,13 +51,7 @@
 		settings,
 		logger,
 		metrics,
-		objectApi: createObjectApiClient({
-			address: settings.platform,
-			onCall(kind, bytes) {
-				metrics.count(`store_calls_total{kind="${kind}"}`);
-				metrics.count('control_bytes_total', bytes);
-			},
-		}),
+		objectApi: createCountedObjectApi(settings.platform, metrics),
 		rpc: createRpcCaller({
 			onCall(method, bytes) {
 				metrics.count(`rpc_calls_total{method="${method}"}`);
--- a/packages/daemon/src/sidecar/createSidecar.ts
+++ b/packages/daemon/src/sidecar/createSidecar.ts
@@ -5,9 +5,10 @@
 	createSidecarState, reduceSidecar, type SidecarEffect, type SidecarEvent, type SidecarState,
 } from '@damaskspool/core';
 import {
-	createLoop, createMetrics, createObjectApiClient, createRpcHandler, listenOn, type Logger, mergeRpcMethods, RPC_PATH,
+	createLoop, createMetrics, createRpcHandler, listenOn, type Logger, mergeRpcMethods, RPC_PATH,
 } from '@damaskspool/runtime';
 import {Agent} from 'undici';
+import {createCountedObjectApi} from '../createCountedObjectApi.js';
 import {type Daemon} from '../createDaemon.js';
 import {createOperationsHandler} from '../createOperationsHandler.js';
 import {type SidecarSettings} from '../settings.js';
@@ -52,13 +53,7 @@
 		settings,
 		logger,
 		metrics,
-		objectApi: createObjectApiClient({
-			address: settings.platform,
-			onCall(kind, bytes) {
-				metrics.count(`store_calls_total{kind="${kind}"}`);
-				metrics.count('control_bytes_total', bytes);
-			},
-		}),
+		objectApi: createCountedObjectApi(settings.platform, metrics),
 		targetDispatcher,
 		dispatch(event) {
 			loop.dispatch(event);
