--- a/packages/core/src/lease/leaseHandlers.ts
+++ b/packages/core/src/lease/leaseHandlers.ts
@@ -1,11 +1,25 @@
 import {hashText, type LeaseRecord, SECOND_MS} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
-import {type EntryEffect} from '../reducer/entryEffects.js';
-import {type EntryEvent} from '../reducer/entryEvents.js';
-import {type EntryState} from '../reducer/entryState.js';
 import {
-	countHeldDuties, type DutyState, LEASE_DURATION_MS, LEASE_MARGIN_MS, type LeaseState, type LeaseWrite,
+	countHeldDuties, type DutyScope, type DutyState, LEASE_MARGIN_MS, type LeaseState, type LeaseWrite,
 } from './leaseState.js';
+import {type LeaseEffect, type LeaseEvent} from './leaseMessages.js';
+
+/** Part of a process's state that leases depend on. */
+export type LeaseHost = {
+	readonly lease: LeaseState;
+	readonly isStopping: boolean;
+	readonly membership: {readonly peers: ReadonlyMap<string, LeaseRival>};
+};
+
+/** Another process that may bid. */
+export type LeaseRival = {readonly instanceId: string; readonly availabilityZone: string; readonly region: string};
+
+type Moment<Type extends string> = {readonly type: Type; readonly nowMs: number};
+type LeaseHostEvent = LeaseEvent | Moment<'instances.listed'> | Moment<'tick'> | Moment<'stop.requested'>;
+type LeaseHostEffect
+	= | LeaseEffect
+		| {readonly type: 'decision.record'; readonly name: string; readonly subject: string; readonly detail: Readonly<Record<string, string | number>>};
 
 /** Time between renewals, and between reads of an entry that is ranked to bid. */
 const CALL_INTERVAL_MS = SECOND_MS;
@@ -17,13 +31,11 @@
 const SPREAD_WAIT_MS = 1500;
 
 /** Handlers by which an entry takes, keeps and gives up leases. */
-export const leaseHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
+export const leaseHandlers: HandlerTable<LeaseHost, LeaseHostEvent, LeaseHostEffect> = {
 	'instances.listed'({lease, membership}, {nowMs}) {
 		const peers = [...membership.peers.values()];
 		for (const duty of lease.duties.values()) {
-			const rivals = peers.filter(peer => duty.scope.kind === 'region'
-				? peer.region === duty.scope.region
-				: peer.availabilityZone === duty.scope.availabilityZone);
+			const rivals = peers.filter(peer => isInScope(duty.scope, peer));
 			const wasCandidate = duty.rank < CANDIDATE_COUNT;
 			const own = computeRankHash(duty.name, lease.instanceId);
 			duty.rank = rivals.filter(({instanceId}) => computeRankHash(duty.name, instanceId) < own).length;
@@ -77,7 +89,7 @@
 	},
 };
 
-function advanceDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
+function advanceDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly LeaseHostEffect[] {
 	const lapsed = expireDuty(lease, duty, nowMs);
 	if (duty.callId !== undefined || nowMs < duty.nextCallAtMs) {
 		return lapsed;
@@ -86,7 +98,7 @@
 	return [...lapsed, duty.held === undefined ? readLease(lease, duty) : writeLease(lease, duty, nowMs)];
 }
 
-function expireDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
+function expireDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly LeaseHostEffect[] {
 	if (duty.held === undefined || nowMs < duty.held.expiresAtMs) {
 		return [];
 	}
@@ -112,7 +124,7 @@
 
 type ReadObject = {readonly version: number; readonly record: LeaseRecord | undefined};
 
-function settleRead(lease: LeaseState, duty: DutyState, {version, record}: ReadObject, nowMs: number): readonly EntryEffect[] {
+function settleRead(lease: LeaseState, duty: DutyState, {version, record}: ReadObject, nowMs: number): readonly LeaseHostEffect[] {
 	const own = duty.writesInDoubt.find(write => isSameWrite(write.record, record));
 	if (own !== undefined) {
 		return settleWrite(duty, own, version, nowMs);
@@ -145,7 +157,7 @@
 }
 
 /** A write of ours is known to have taken effect: its term counts from before it was sent. */
-function settleWrite(duty: DutyState, write: LeaseWrite, version: number, nowMs: number): readonly EntryEffect[] {
+function settleWrite(duty: DutyState, write: LeaseWrite, version: number, nowMs: number): readonly LeaseHostEffect[] {
 	const isTaken = duty.held === undefined;
 	const expiresAtMs = write.sentAtMs + write.record.durationMs - LEASE_MARGIN_MS;
 	duty.version = version;
@@ -178,13 +190,13 @@
 	return duty.held !== undefined || duty.rank < CANDIDATE_COUNT ? CALL_INTERVAL_MS : BACKGROUND_INTERVAL_MS;
 }
 
-function readLease(lease: LeaseState, duty: DutyState): EntryEffect {
+function readLease(lease: LeaseState, duty: DutyState): LeaseEffect {
 	duty.callId = createCallId(lease);
 	return {type: 'lease.read', dutyName: duty.name, callId: duty.callId};
 }
 
 /** Renews a lease that is held, and else bids for it under the next epoch. */
-function writeLease(lease: LeaseState, duty: DutyState, nowMs: number, durationMs = LEASE_DURATION_MS): EntryEffect {
+function writeLease(lease: LeaseState, duty: DutyState, nowMs: number, durationMs = lease.durationMs): LeaseEffect {
 	const callId = createCallId(lease);
 	const record: LeaseRecord = {
 		holder: lease.instanceId,
@@ -200,8 +212,8 @@
 }
 
 /** Gives a duty up at a planned stop, so that a successor need not wait the term out. */
-function releaseDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly EntryEffect[] {
-	if (duty.held === undefined) {
+function releaseDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly LeaseHostEffect[] {
+	if (duty.held === undefined || !lease.isReleasedAtStop) {
 		return [];
 	}
 
@@ -210,6 +222,22 @@
 	return [effect];
 }
 
+function isInScope(scope: DutyScope, rival: LeaseRival): boolean {
+	switch (scope.kind) {
+		case 'region': {
+			return rival.region === scope.region;
+		}
+
+		case 'availabilityZone': {
+			return rival.availabilityZone === scope.availabilityZone;
+		}
+
+		case 'everywhere': {
+			return true;
+		}
+	}
+}
+
 function createCallId(lease: LeaseState): string {
 	lease.callCount += 1;
 	return `${lease.processId}.${lease.callCount}`;
--- a/packages/core/src/lease/leaseState.ts
+++ b/packages/core/src/lease/leaseState.ts
@@ -21,7 +21,8 @@
 /** Which entries may hold a duty. */
 export type DutyScope
 	= | {readonly kind: 'availabilityZone'; readonly availabilityZone: string}
-		| {readonly kind: 'region'; readonly region: string};
+		| {readonly kind: 'region'; readonly region: string}
+		| {readonly kind: 'everywhere'};
 
 /** What an entry knows of the lease of one duty. */
 export type DutyState = {
@@ -48,6 +49,10 @@
 	readonly instanceId: string;
 	/** Differs in each process that ever runs under the same instance identifier. */
 	readonly processId: string;
+	/** Term that this process asks for. */
+	readonly durationMs: number;
+	/** Whether a planned stop ends the term at once; else a successor waits it out, so that no holder returns within a term. */
+	readonly isReleasedAtStop: boolean;
 	readonly duties: Map<string, DutyState>;
 	callCount: number;
 };
@@ -58,6 +63,10 @@
 	readonly processId: string;
 	readonly availabilityZone: string;
 	readonly region: string;
+	readonly durationMs?: number;
+	readonly isReleasedAtStop?: boolean;
+	/** Duties to bid for; those of the zone's fleet and the region's usage where left out. */
+	readonly duties?: ReadonlyArray<{readonly name: string; readonly scope: DutyScope}>;
 };
 
 /** A duty that is held now. */
@@ -94,15 +103,17 @@
  * @returns the state
  */
 export function createLeaseState(options: LeaseStateOptions): LeaseState {
-	const {instanceId, processId, availabilityZone, region} = options;
-	const duties = [
-		createDuty(toFleetDuty(availabilityZone), {kind: 'availabilityZone', availabilityZone}),
-		createDuty(toUsageDuty(region), {kind: 'region', region}),
+	const {instanceId, processId, availabilityZone, region, durationMs = LEASE_DURATION_MS, isReleasedAtStop = true} = options;
+	const duties = options.duties ?? [
+		{name: toFleetDuty(availabilityZone), scope: {kind: 'availabilityZone', availabilityZone}},
+		{name: toUsageDuty(region), scope: {kind: 'region', region}},
 	];
 	return {
 		instanceId,
 		processId,
-		duties: new Map(duties.map(duty => [duty.name, duty])),
+		durationMs,
+		isReleasedAtStop,
+		duties: new Map(duties.map(({name, scope}) => [name, createDuty(name, scope)])),
 		callCount: 0,
 	};
 }
--- /dev/null
+++ b/packages/core/src/placement/placementSettings.ts
@@ -0,0 +1,49 @@
+/** Figures that the placement of requests weighs. A loss of 1 is the whole value of a request. */
+export type PlacementSettings = {
+	/** Tokens a millisecond that a target reads in stage `prefill`. */
+	readonly readTokensPerMs: number;
+	/** Share of that speed at which a target in stage `decode` reads. */
+	readonly decodeReadShare: number;
+	/** Reading time for a million pairs of a token with one before it. */
+	readonly pairsMsPerMillion: number;
+	/** Time from the send of a prompt that is wholly cached to its first event. */
+	readonly firstEventMs: number;
+	/** Time before a copy of KV cache begins. */
+	readonly copySetupMs: number;
+	/** How much longer a copy between zones takes. */
+	readonly crossZoneCopyFactor: number;
+	/** Time that one request beyond the slots waits for one. */
+	readonly slotWaitMs: number;
+	/** Loss of an answer that comes after its goal. */
+	readonly lateLoss: number;
+	/** Loss of a millisecond of reading, which other requests then wait for. */
+	readonly readLossPerMs: number;
+	/** Loss of a kilobyte of request body between zones. */
+	readonly crossZoneLossPerKb: number;
+	/** Loss of a gigabyte of KV cache copied. */
+	readonly copyLossPerGb: number;
+	/** Loss of a slot that is taken at a target whose slots are all taken but one. */
+	readonly slotLoss: number;
+	/** A request is refused when its answer would begin later than this multiple of its goal. */
+	readonly refuseAtGoals: number;
+	/** Prompts with more tokens to read than this may be read apart from their generation. */
+	readonly longReadTokens: number;
+};
+
+/** Figures of the engines and prices in the sheets of both deployments. */
+export const DEFAULT_PLACEMENT_SETTINGS: PlacementSettings = {
+	readTokensPerMs: 157,
+	decodeReadShare: 0.5,
+	pairsMsPerMillion: 0.109,
+	firstEventMs: 34,
+	copySetupMs: 8,
+	crossZoneCopyFactor: 2,
+	slotWaitMs: 30,
+	lateLoss: 0.7,
+	readLossPerMs: 0.002,
+	crossZoneLossPerKb: 0.004,
+	copyLossPerGb: 0.08,
+	slotLoss: 0.05,
+	refuseAtGoals: 1.3,
+	longReadTokens: 1500,
+};
--- /dev/null
+++ b/packages/core/src/placement/placementState.ts
@@ -0,0 +1,154 @@
+import {type PromptPart, type TargetRecord} from '../serving/servingRecords.js';
+import {createPrefixHomes, type PrefixHomes} from './prefixHomes.js';
+
+/** Work of one entry under way at one target. */
+export type TargetWork = {
+	/** Requests that hold or wait for a slot. */
+	running: number;
+	/** Time that the target needs for the prompts of this entry that it has not read yet. */
+	readMs: number;
+};
+
+/** What a peer entry said last of its own work. */
+export type PeerWork = {
+	/** Rises with each message of one incarnation. */
+	sequence: number;
+	/** Tells incarnations of a peer apart. */
+	processId: string;
+	/** When the message came in, by the own clock. */
+	atMs: number;
+	readonly workByTarget: ReadonlyMap<string, TargetWork>;
+};
+
+/** A target with what this entry knows of its state. */
+export type PlacedTarget = {
+	record: TargetRecord;
+	/** Work that this entry has under way there. */
+	readonly own: TargetWork;
+	/** No work is sent before this time, after failures. */
+	avoidUntilMs: number;
+	failuresInRow: number;
+	/** Set while a stage change is expected to keep the target out of use. */
+	changesStageUntilMs: number;
+};
+
+/** What placement depends on. */
+export type PlacementState = {
+	readonly entryId: string;
+	readonly availabilityZone: string;
+	readonly targets: Map<string, PlacedTarget>;
+	readonly peers: Map<string, PeerWork>;
+	readonly homes: PrefixHomes;
+};
+
+/** A peer that was silent for this long is taken as gone with its work; several report intervals. */
+export const PEER_SILENCE_MS = 1500;
+
+/** First wait after a failure of a target, doubled by each further one. */
+const AVOID_BASE_MS = 150;
+/** Longest wait after failures of a target. */
+const AVOID_LIMIT_MS = 2000;
+
+/**
+ * Creates the placement state of an entry that knows no target.
+ *
+ * @param options - who and where the entry is
+ * @returns the state
+ */
+export function createPlacementState({entryId, availabilityZone}: {entryId: string; availabilityZone: string}): PlacementState {
+	return {
+		entryId, availabilityZone, targets: new Map(), peers: new Map(), homes: createPrefixHomes(),
+	};
+}
+
+/**
+ * Takes over a new set of targets; work under way at those that stay is kept.
+ *
+ * @param state - placement state, changed
+ * @param records - every target that may be in use
+ */
+export function applyTargets(state: PlacementState, records: readonly TargetRecord[]): void {
+	const present = new Set(records.map(({targetId}) => targetId));
+	for (const targetId of state.targets.keys()) {
+		if (!present.has(targetId)) {
+			state.targets.delete(targetId);
+			state.homes.removeTarget(targetId);
+		}
+	}
+
+	for (const record of records) {
+		const known = state.targets.get(record.targetId);
+		if (known === undefined) {
+			state.targets.set(record.targetId, {
+				record, own: {running: 0, readMs: 0}, avoidUntilMs: 0, failuresInRow: 0, changesStageUntilMs: 0,
+			});
+			continue;
+		}
+
+		if (known.record.startedAtMs !== record.startedAtMs) {
+			state.homes.removeTarget(record.targetId);
+			known.failuresInRow = 0;
+			known.avoidUntilMs = 0;
+		}
+
+		if (known.record.stage !== record.stage) {
+			known.changesStageUntilMs = 0;
+		}
+
+		known.record = record;
+	}
+}
+
+/**
+ * Adds up the work of this entry and its peers at a target.
+ *
+ * @param state - placement state
+ * @param target - the target
+ * @param nowMs - present time
+ * @returns requests and reading time; a peer's reading time is shortened by the age of its message
+ */
+export function sumWork(state: PlacementState, target: PlacedTarget, nowMs: number): TargetWork {
+	let {running, readMs} = target.own;
+	for (const peer of state.peers.values()) {
+		const work = peer.workByTarget.get(target.record.targetId);
+		if (work === undefined || nowMs - peer.atMs > PEER_SILENCE_MS) {
+			continue;
+		}
+
+		running += work.running;
+		readMs += Math.max(0, work.readMs - (nowMs - peer.atMs));
+	}
+
+	return {running, readMs};
+}
+
+/**
+ * Records that a target failed by its own fault: it is avoided for a time that doubles with each failure in a row.
+ *
+ * @param target - the target, changed
+ * @param nowMs - present time
+ */
+export function recordFault(target: PlacedTarget, nowMs: number): void {
+	target.failuresInRow += 1;
+	target.avoidUntilMs = nowMs + Math.min(AVOID_LIMIT_MS, AVOID_BASE_MS * (2 ** (target.failuresInRow - 1)));
+}
+
+/**
+ * Records that a target answered.
+ *
+ * @param target - the target, changed
+ */
+export function recordAnswer(target: PlacedTarget): void {
+	target.failuresInRow = 0;
+	target.avoidUntilMs = 0;
+}
+
+/**
+ * Lists the parts of a prompt that other requests may share: all but the last.
+ *
+ * @param parts - parts of the prompt
+ * @returns the shared parts in order
+ */
+export function listSharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
+	return parts.slice(0, -1);
+}
--- a/packages/core/src/request/requestRecord.ts
+++ b/packages/core/src/request/requestRecord.ts
@@ -5,6 +5,9 @@
 import {type RequestFacts} from '../reducer/entryEvents.js';
 import {requestMachine, type RequestMachineEvent, type RequestMachineState} from './requestMachine.js';
 
+/** Where a request stands in its life. */
+export type RequestSnapshot = SnapshotFrom<typeof requestMachine>;
+
 /** One attempt of a request at one target. */
 export type Attempt = {
 	readonly attemptId: string;
@@ -21,7 +24,7 @@
 	readonly route: RouteConfiguration;
 	readonly receivedAtMs: number;
 	readonly deadlineAtMs: number;
-	snapshot: SnapshotFrom<typeof requestMachine>;
+	snapshot: RequestSnapshot;
 	/** The attempt under way; a late reply of any other is discarded. */
 	attempt: Attempt | undefined;
 	attemptCount: number;
@@ -47,7 +50,6 @@
  */
 export function createRequestRecord(options: RequestRecordOptions): RequestRecord {
 	const {facts, customerId, service, route, nowMs} = options;
-	const [snapshot] = initialTransition(requestMachine, {isRepeatable: route.repeatable});
 	return {
 		facts,
 		customerId,
@@ -55,7 +57,7 @@
 		route,
 		receivedAtMs: nowMs,
 		deadlineAtMs: nowMs + route.deadlineMs,
-		snapshot,
+		snapshot: createRequestSnapshot(route.repeatable),
 		attempt: undefined,
 		attemptCount: 0,
 		triedTargetIds: new Set(),
@@ -63,14 +65,25 @@
 	};
 }
 
+/**
+ * Creates the first snapshot of a request.
+ *
+ * @param isRepeatable - whether the request may run more than once
+ * @returns the snapshot, in state `choosing`
+ */
+export function createRequestSnapshot(isRepeatable: boolean): RequestSnapshot {
+	const [snapshot] = initialTransition(requestMachine, {isRepeatable});
+	return snapshot;
+}
+
 /**
  * Moves a request on.
  *
- * @param record - request to change
+ * @param record - holder of the request's snapshot, changed
  * @param event - what happened to it
  * @returns the state that the request is in now
  */
-export function advanceRequest(record: RequestRecord, event: RequestMachineEvent): RequestMachineState {
+export function advanceRequest(record: {snapshot: RequestSnapshot}, event: RequestMachineEvent): RequestMachineState {
 	const [snapshot] = transition(requestMachine, record.snapshot, event);
 	record.snapshot = snapshot;
 	return snapshot.value as RequestMachineState;
--- /dev/null
+++ b/packages/core/src/serving/callAttempts.ts
@@ -0,0 +1,285 @@
+import {ERROR_CODES, type ErrorCode, type Outcome, OUTCOMES} from '@damaskspool/shared';
+import {placeCall} from '../placement/placeCall.js';
+import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
+import {
+	listSharedParts, PEER_SILENCE_MS, type PlacedTarget, recordAnswer, recordFault,
+} from '../placement/placementState.js';
+import {advanceRequest} from '../request/requestRecord.js';
+import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect} from './servingMessages.js';
+import {STAGES, type EngineRecord} from './servingRecords.js';
+import {type ServingCall, type ServingState} from './servingState.js';
+
+/** KV cache of a prompt that was read apart. */
+export type ReadHandle = {readonly address: string; readonly handleId: string};
+
+type AttemptPlan = {
+	readonly target: PlacedTarget;
+	readonly isRead: boolean;
+	readonly readMs: number;
+	readonly handle: ReadHandle | undefined;
+	readonly source: PlacedTarget | undefined;
+	readonly detail: Readonly<Record<string, unknown>>;
+};
+
+/** Least time left with which an attempt is worth sending. */
+const LEAST_LEFT_MS = 20;
+/** Rank that a target gives to requests that carry none. */
+const DEFAULT_RANK = 5;
+/** Wait told with a refusal that no estimate stands behind. */
+const DEFAULT_RETRY_AFTER_MS = 500;
+/** Rank steps kept for one priority of a route. */
+const RANK_LIMIT = 9;
+
+/**
+ * Plans the next attempt of a call, or its refusal.
+ *
+ * @param state - state of the entry, changed
+ * @param served - the call, changed
+ * @param nowMs - present time
+ * @param handle - KV cache of its prompt, where that was read apart
+ * @param isKnownRun - the call has run, so a refusal may not say otherwise
+ * @returns the effects that send or refuse it
+ */
+// eslint-disable-next-line max-params
+export function planNextAttempt(state: ServingState, served: ServingCall, nowMs: number, handle?: ReadHandle, isKnownRun = false): readonly ServingEffect[] {
+	const leftMs = served.timeoutAtMs - nowMs;
+	const isRepeat = served.attempts > 0 && handle === undefined;
+	if (leftMs < LEAST_LEFT_MS || (isRepeat && !mayRepeat(state, served, nowMs))) {
+		return exhaustCall(state, served, ERROR_CODES.noTarget, isKnownRun);
+	}
+
+	const plan = handle === undefined ? planAttempt(state, served, nowMs) : planTakeOver(state, served, handle, nowMs);
+	if (plan === undefined || 'refusal' in plan) {
+		return [
+			...exhaustCall(state, served, plan?.refusal ?? ERROR_CODES.noTarget, isKnownRun, plan?.retryAfterMs),
+			...(handle === undefined ? [] : [{type: 'handle.free', ...handle} as const]),
+		];
+	}
+
+	state.attemptCount += 1;
+	const attemptId = state.attemptCount;
+	advanceRequest(served, {type: 'attempt'});
+	// Taking a read prompt over is not another attempt: the read before it was not counted.
+	served.attempts += plan.isRead ? 0 : 1;
+	served.attempt = {
+		attemptId, target: plan.target, isRead: plan.isRead, readMs: plan.readMs, sentAtMs: nowMs, isBegun: false,
+	};
+	plan.target.own.running += 1;
+	plan.target.own.readMs += plan.readMs;
+	rememberPrefix(state, served, plan);
+	return [
+		{
+			type: 'attempt.send',
+			callId: served.callId,
+			attemptId,
+			target: plan.target.record,
+			customerId: served.customerId,
+			leftMs: Math.floor(leftMs),
+			priority: toRank(state, served),
+			isRead: plan.isRead,
+			handle: plan.handle,
+			fetchAddress: plan.source?.record.address,
+			isResumable: served.route.isResumable,
+			mayRepeat: served.attempts < served.route.attemptLimit,
+		},
+		{
+			type: 'decision.record',
+			name: plan.isRead ? 'call.read' : 'call.sent',
+			subject: served.call.requestId,
+			detail: {
+				route: served.route.name, target: plan.target.record.targetId, attempt: served.attempts, version: state.configuration?.version, ...plan.detail,
+			},
+		},
+		{type: 'work.tell'},
+	];
+}
+
+function mayRepeat(state: ServingState, served: ServingCall, nowMs: number): boolean {
+	return served.attempts < served.route.attemptLimit
+		&& state.budget.take(served.serviceId, countEntries(state, nowMs), nowMs);
+}
+
+function countEntries(state: ServingState, nowMs: number): number {
+	const live = [...state.placement.peers.values()].filter(({atMs}) => nowMs - atMs <= PEER_SILENCE_MS).length;
+	// Peers that are cut off from this entry still spend from the same budget.
+	return 1 + Math.max(live, state.membership.peers.size);
+}
+
+type Refusal = {readonly refusal: ErrorCode; readonly retryAfterMs: number | undefined};
+
+function planAttempt(state: ServingState, served: ServingCall, nowMs: number): AttemptPlan | Refusal | undefined {
+	const engine = state.configuration?.services.get(served.serviceId)?.engine;
+	return engine !== undefined && served.call.prompt !== undefined
+		? planGeneration(state, served, engine, nowMs)
+		: planCall(state, served, nowMs);
+}
+
+function planCall(state: ServingState, served: ServingCall, nowMs: number): AttemptPlan | Refusal {
+	const plan = placeCall({
+		state: state.placement, serviceId: served.serviceId, excluded: served.excluded, nowMs,
+	});
+	return plan === undefined
+		? {refusal: ERROR_CODES.noTarget, retryAfterMs: DEFAULT_RETRY_AFTER_MS}
+		: {
+			target: plan.target, isRead: false, readMs: 0, handle: undefined, source: undefined, detail: {running: plan.running},
+		};
+}
+
+// eslint-disable-next-line max-params
+function planGeneration(state: ServingState, served: ServingCall, engine: EngineRecord, nowMs: number): AttemptPlan | Refusal | undefined {
+	const {placement, placementSettings} = state;
+	const goalLeftMs = served.arrivedAtMs + served.route.goalMs - nowMs;
+	const plan = placeGeneration({
+		state: placement,
+		demand: {
+			serviceId: served.serviceId,
+			prompt: served.call.prompt!,
+			bodyBytes: served.call.bodyBytes,
+			goalLeftMs,
+			excluded: served.excluded,
+		},
+		engine,
+		settings: placementSettings,
+		nowMs,
+	});
+	if (plan === undefined) {
+		return undefined;
+	}
+
+	const refuseAboveMs = served.route.goalMs * placementSettings.refuseAtGoals;
+	if (plan.startMs - plan.readMs > refuseAboveMs) {
+		return {refusal: ERROR_CODES.queueFull, retryAfterMs: Math.round(plan.startMs - plan.readMs)};
+	}
+
+	served.generator = plan.reader === undefined ? undefined : plan.target;
+	return {
+		target: plan.reader ?? plan.target,
+		isRead: plan.reader !== undefined,
+		readMs: plan.readMs,
+		handle: undefined,
+		source: plan.source,
+		detail: describePlan(plan),
+	};
+}
+
+function describePlan({startMs, readMs, loss, source, reader, target}: GenerationPlan) {
+	return {
+		startMs: Math.round(startMs), readMs: Math.round(readMs), loss: Number(loss.toFixed(3)), source: source?.record.targetId, generator: reader === undefined ? undefined : target.record.targetId,
+	};
+}
+
+/** The target chosen before the read, or where that is gone another one. */
+// eslint-disable-next-line max-params
+function planTakeOver(state: ServingState, served: ServingCall, handle: ReadHandle, nowMs: number): AttemptPlan | undefined {
+	const {generator} = served;
+	const isInUse = generator !== undefined && state.placement.targets.get(generator.record.targetId) === generator
+		&& !generator.record.isLeaving && generator.record.stage !== STAGES.prefill;
+	const target = isInUse ? generator : findGenerator(state, served, nowMs);
+	return target === undefined
+		? undefined
+		: {
+			target, isRead: false, readMs: 0, handle, source: undefined, detail: {tookOver: handle.handleId},
+		};
+}
+
+function findGenerator(state: ServingState, served: ServingCall, nowMs: number): PlacedTarget | undefined {
+	const readers = [...state.placement.targets.values()].filter(({record}) => record.stage === STAGES.prefill);
+	const excluded = new Set([...served.excluded, ...readers.map(({record}) => record.targetId)]);
+	return placeCall({state: state.placement, serviceId: served.serviceId, excluded, nowMs})?.target;
+}
+
+function rememberPrefix(state: ServingState, served: ServingCall, plan: AttemptPlan): void {
+	const {prompt} = served.call;
+	if (prompt === undefined) {
+		return;
+	}
+
+	for (const {partId, tokens} of listSharedParts(prompt.parts)) {
+		if (tokens >= state.placementSettings.longReadTokens) {
+			state.placement.homes.recordUse(partId, plan.target.record.targetId, tokens);
+			state.untoldUses.push([partId, plan.target.record.targetId, tokens]);
+		}
+	}
+}
+
+function toRank(state: ServingState, served: ServingCall): number {
+	return state.configuration === undefined ? DEFAULT_RANK : Math.min(RANK_LIMIT, Math.max(0, served.route.priority * 2));
+}
+
+/**
+ * Records the first bytes of an answer: the prompt is read, and the request has begun to run.
+ *
+ * @param state - state of the entry, changed
+ * @param served - the call, changed
+ * @param times - present time by both clocks
+ */
+export function beginAttempt(state: ServingState, served: ServingCall, {wallMs}: {nowMs: number; wallMs: number}): void {
+	const attempt = served.attempt!;
+	attempt.isBegun = true;
+	attempt.target.own.readMs = Math.max(0, attempt.target.own.readMs - attempt.readMs);
+	attempt.readMs = 0;
+	recordAnswer(attempt.target);
+	if (!served.isCounted) {
+		served.isCounted = true;
+		if (served.customerId !== undefined) {
+			state.usage.record(served.customerId, wallMs);
+		}
+	}
+}
+
+/** Results that speak against the target that gave them. */
+const FAULTS: ReadonlySet<AttemptResult> = new Set([ATTEMPT_RESULTS.unreached, ATTEMPT_RESULTS.unknown, ATTEMPT_RESULTS.failed]);
+
+/**
+ * Takes the work of an attempt that ended off its target.
+ *
+ * @param state - state of the entry, changed
+ * @param served - the call, changed
+ * @param end - how and when the attempt ended
+ */
+export function endAttemptWork(state: ServingState, served: ServingCall, {result, nowMs}: {result: AttemptResult; nowMs: number}): void {
+	const {attempt} = served;
+	if (attempt === undefined) {
+		return;
+	}
+
+	const {own} = attempt.target;
+	own.running = Math.max(0, own.running - 1);
+	own.readMs = Math.max(0, own.readMs - attempt.readMs);
+	attempt.readMs = 0;
+	if (FAULTS.has(result)) {
+		recordFault(attempt.target, nowMs);
+	} else if (result === ATTEMPT_RESULTS.answered) {
+		recordAnswer(attempt.target);
+	}
+}
+
+/** Ends a call that no further attempt is made for. */
+// eslint-disable-next-line max-params
+function exhaustCall(state: ServingState, served: ServingCall, code: ErrorCode, isKnownRun: boolean, retryAfterMs = DEFAULT_RETRY_AFTER_MS): readonly ServingEffect[] {
+	const next = advanceRequest(served, {type: 'exhaust'});
+	state.calls.delete(served.callId);
+	const isNotRun = next === 'refusedNotRun' && !isKnownRun && !served.isCounted;
+	return [
+		refuseCall(served, isNotRun ? code : ERROR_CODES.targetFailed, isNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown, isNotRun ? retryAfterMs : undefined),
+		{
+			type: 'decision.record', name: 'call.refused', subject: served.call.requestId, detail: {code, isNotRun, retryAfterMs, route: served.route.name, attempts: served.attempts},
+		},
+	];
+}
+
+/**
+ * Builds the effect that ends a call with an answer of the entry's own.
+ *
+ * @param served - the call
+ * @param code - why
+ * @param outcome - what is certain of its run
+ * @param retryAfterMs - when to come back, where it has not run
+ * @returns the effect
+ */
+// eslint-disable-next-line max-params
+export function refuseCall(served: ServingCall, code: ErrorCode, outcome: Outcome, retryAfterMs?: number): ServingEffect {
+	return {
+		type: 'call.refuse', callId: served.callId, code, outcome, retryAfterMs,
+	};
+}
--- /dev/null
+++ b/packages/core/src/serving/callHandlers.ts
@@ -0,0 +1,223 @@
+import {ERROR_CODES, type ErrorCode, OUTCOMES} from '@damaskspool/shared';
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
+import {beginAttempt, endAttemptWork, planNextAttempt, refuseCall} from './callAttempts.js';
+import {resolveServingRoute, pickService} from './resolveServingRoute.js';
+import {type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
+import {type ServingCall, type ServingState} from './servingState.js';
+
+/** Handlers of a call from its arrival to its end. */
+export const callHandlers: HandlerTable<ServingState, ServingEvent, ServingEffect> = {
+	'call.arrived'(state, event) {
+		const {callId, call, nowMs, waitedMs} = event;
+		const resolved = resolveCall(state, call);
+		if (typeof resolved === 'string') {
+			return [{
+				type: 'call.refuse', callId, code: resolved, outcome: OUTCOMES.refusedNotRun, retryAfterMs: undefined,
+			}, {
+				type: 'decision.record', name: 'call.rejected', subject: call.requestId, detail: {code: resolved, version: state.configuration?.version},
+			}];
+		}
+
+		const {route, serviceId, customerId} = resolved;
+		const isRepeatable = route.kind === ROUTE_KINDS.safe || route.isResumable;
+		const served: ServingCall = {
+			callId,
+			call,
+			route,
+			serviceId,
+			customerId,
+			arrivedAtMs: nowMs - waitedMs,
+			deadlineAtMs: nowMs - waitedMs + call.deadlineMs,
+			timeoutAtMs: nowMs - waitedMs + Math.min(call.deadlineMs, route.timeoutMs),
+			snapshot: createRequestSnapshot(isRepeatable),
+			attempt: undefined,
+			attempts: 0,
+			excluded: new Set(),
+			generator: undefined,
+			isCounted: false,
+			isStarted: false,
+		};
+		state.calls.set(callId, served);
+		state.budget.recordRequest(serviceId, nowMs);
+		return [
+			{type: 'call.limit', callId, afterMs: Math.max(0, served.timeoutAtMs - nowMs)},
+			...planNextAttempt(state, served, nowMs),
+		];
+	},
+	'call.left'(state, {callId, nowMs}) {
+		const served = state.calls.get(callId);
+		if (served === undefined) {
+			return [];
+		}
+
+		advanceRequest(served, {type: 'abandon'});
+		return endCall(state, served, {nowMs, outcome: 'left'});
+	},
+	'call.expired'(state, {callId, nowMs}) {
+		const served = state.calls.get(callId);
+		if (served === undefined) {
+			return [];
+		}
+
+		const effects = endCall(state, served, {nowMs, outcome: 'expired'});
+		return [...effects, refuseCall(served, ERROR_CODES.deadlineExceeded, OUTCOMES.refusedUnknown)];
+	},
+	'attempt.began'(state, {callId, attemptId, nowMs, wallMs}) {
+		const served = state.calls.get(callId);
+		const attempt = served?.attempt;
+		if (served === undefined || attempt?.attemptId !== attemptId || attempt.isBegun) {
+			return [];
+		}
+
+		beginAttempt(state, served, {nowMs, wallMs});
+		served.isStarted = true;
+		advanceRequest(served, {type: 'answer'});
+		return [{type: 'work.tell'}];
+	},
+	'attempt.readEnded'(state, {callId, attemptId, handleId, result, nowMs}) {
+		const served = state.calls.get(callId);
+		const attempt = served?.attempt;
+		if (served === undefined || attempt?.attemptId !== attemptId) {
+			// The caller left meanwhile: nobody takes the cache over.
+			return [];
+		}
+
+		endAttemptWork(state, served, {result, nowMs});
+		if (handleId === undefined) {
+			served.excluded.add(attempt.target.record.targetId);
+			advanceRequest(served, {type: 'failNotRun'});
+			return planNextAttempt(state, served, nowMs);
+		}
+
+		advanceRequest(served, {type: 'failNotRun'});
+		return planNextAttempt(state, served, nowMs, {address: attempt.target.record.address, handleId});
+	},
+	'attempt.ended'(state, event) {
+		const served = state.calls.get(event.callId);
+		const attempt = served?.attempt;
+		if (served === undefined || attempt?.attemptId !== event.attemptId) {
+			return [];
+		}
+
+		const {nowMs, wallMs, result} = event;
+		if (event.hasRun && !served.isCounted) {
+			countServed(state, served, wallMs);
+		}
+
+		endAttemptWork(state, served, {result, nowMs});
+		return settleAttempt[result](state, served, event);
+	},
+};
+
+type AttemptEnded = Extract<ServingEvent, {type: 'attempt.ended'}>;
+type SettleAttempt = (state: ServingState, served: ServingCall, event: AttemptEnded) => readonly ServingEffect[];
+
+/** What follows from the end of an attempt, by how it ended. */
+const settleAttempt: Readonly<Record<AttemptEnded['result'], SettleAttempt>> = {
+	answered(state, served, {nowMs}) {
+		advanceRequest(served, {type: 'finish'});
+		return endCall(state, served, {nowMs, outcome: 'answered'});
+	},
+	notRun(state, served, {nowMs, detail}) {
+		return repeatNotRun(state, served, {nowMs, detail});
+	},
+	unreached(state, served, {nowMs, detail}) {
+		return repeatNotRun(state, served, {nowMs, detail});
+	},
+	unknown(state, served, {nowMs, detail}) {
+		served.excluded.add(served.attempt?.target.record.targetId ?? '');
+		const next = advanceRequest(served, {type: 'failUnknown'});
+		if (next === 'retrying') {
+			return [createAttemptRecord(served, 'unknown', detail), ...planNextAttempt(state, served, nowMs)];
+		}
+
+		return [
+			createAttemptRecord(served, 'unknown', detail),
+			...endCall(state, served, {nowMs, outcome: 'unknown'}),
+			refuseCall(served, ERROR_CODES.targetFailed, OUTCOMES.refusedUnknown),
+		];
+	},
+	failed(state, served, {nowMs, detail, attemptId}) {
+		const {callId} = served;
+		served.excluded.add(served.attempt?.target.record.targetId ?? '');
+		const repeats = served.route.kind === ROUTE_KINDS.safe && !served.isStarted
+			? planNextAttempt(state, served, nowMs, undefined, true)
+			: undefined;
+		if (repeats?.some(({type}) => type === 'attempt.send')) {
+			return [createAttemptRecord(served, 'failed', detail), ...repeats];
+		}
+
+		return [
+			createAttemptRecord(served, 'failed', detail),
+			...endCall(state, served, {nowMs, outcome: 'failed'}),
+			{type: 'attempt.passOn', callId, attemptId},
+		];
+	},
+	cancelled: () => [],
+};
+
+function repeatNotRun(state: ServingState, served: ServingCall, {nowMs, detail}: {nowMs: number; detail: string}): readonly ServingEffect[] {
+	served.excluded.add(served.attempt?.target.record.targetId ?? '');
+	advanceRequest(served, {type: 'failNotRun'});
+	return [createAttemptRecord(served, 'notRun', detail), ...planNextAttempt(state, served, nowMs)];
+}
+
+function createAttemptRecord({call, attempt}: ServingCall, result: string, detail: string): ServingEffect {
+	return {
+		type: 'decision.record', name: 'attempt.ended', subject: call.requestId, detail: {result, detail, target: attempt?.target.record.targetId},
+	};
+}
+
+function countServed(state: ServingState, served: ServingCall, wallMs: number): void {
+	served.isCounted = true;
+	if (served.customerId !== undefined) {
+		state.usage.record(served.customerId, wallMs);
+	}
+}
+
+function endCall(state: ServingState, served: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
+	const {attempt, callId, call} = served;
+	state.calls.delete(callId);
+	const effects: ServingEffect[] = [{
+		type: 'decision.record',
+		name: 'call.ended',
+		subject: call.requestId,
+		detail: {
+			outcome, route: served.route.name, target: attempt?.target.record.targetId, attempts: served.attempts, tookMs: Math.round(nowMs - served.arrivedAtMs),
+		},
+	}];
+	if (attempt !== undefined && outcome !== 'answered') {
+		endAttemptWork(state, served, {result: 'cancelled', nowMs});
+		effects.push({type: 'attempt.cancel', callId, attemptId: attempt.attemptId});
+	}
+
+	return [...effects, {type: 'work.tell'}];
+}
+
+type ResolvedCall = {readonly route: RouteRecord; readonly serviceId: string; readonly customerId: string | undefined};
+
+function resolveCall(state: ServingState, call: CallRecord): ResolvedCall | ErrorCode {
+	const {configuration} = state;
+	if (configuration === undefined || !state.hasTargets) {
+		return ERROR_CODES.notReady;
+	}
+
+	const route = resolveServingRoute(configuration, call.host, call.path);
+	if (route === undefined) {
+		return ERROR_CODES.routeUnknown;
+	}
+
+	const owner = findOwner(configuration, call);
+	if (owner === undefined && !route.isOpen && configuration.ownersByKey !== undefined) {
+		return call.key === undefined ? ERROR_CODES.keyMissing : ERROR_CODES.keyUnknown;
+	}
+
+	const serviceId = pickService(route.shares, call.requestId);
+	return serviceId === undefined ? ERROR_CODES.noTarget : {route, serviceId, customerId: owner?.customerId};
+}
+
+function findOwner({ownersByKey}: ServingConfiguration, {key}: CallRecord) {
+	return key === undefined ? undefined : ownersByKey?.get(key);
+}
--- /dev/null
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -0,0 +1,100 @@
+import {type HandlerTable} from '../reducer/createReducer.js';
+import {applyRegistrations, expireRegistrations, listTargets} from '../membership/targetCatalog.js';
+import {applyTargets, PEER_SILENCE_MS} from '../placement/placementState.js';
+import {type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {type ServingState} from './servingState.js';
+
+/** Part of an engine's memory that is taken to be kept for shared parts; the rest holds what runs. */
+const KEPT_SHARE_OF_MEMORY = 0.6;
+/** A peer that was silent for this long is no longer counted among those that share budgets and duties. */
+const PEER_FORGET_MS = 20 * PEER_SILENCE_MS;
+
+/** Handlers of what an entry learns: targets, configuration and the work of its peers. */
+export const peerHandlers: HandlerTable<ServingState, ServingEvent, ServingEffect> = {
+	'targets.changed'(state, {nowMs, ...change}) {
+		state.hasTargets = true;
+		applyRegistrations(state.catalog, change, nowMs);
+		return applyCatalog(state);
+	},
+	'store.failed'(state, {nowMs}) {
+		state.catalog.storeFailedAtMs = nowMs;
+		return [];
+	},
+	'configuration.changed'(state, {configuration}) {
+		const held = state.configuration?.version;
+		if (held !== undefined && configuration.version <= held) {
+			return [{
+				type: 'decision.record', name: 'configuration.ignored', subject: state.instanceId, detail: {version: configuration.version, held},
+			}];
+		}
+
+		state.configuration = configuration;
+		const engine = [...configuration.services.values()].find(service => service.engine !== undefined)?.engine;
+		if (engine !== undefined) {
+			state.placement.homes.setLimit(engine.memoryTokens * KEPT_SHARE_OF_MEMORY);
+		}
+
+		return [{
+			type: 'decision.record', name: 'configuration.applied', subject: state.instanceId, detail: {version: configuration.version, held, routes: configuration.routes.length},
+		}];
+	},
+	'peer.reported'(state, {report, nowMs}) {
+		const known = state.placement.peers.get(report.entryId);
+		if (known?.processId === report.processId && report.sequence <= known.sequence) {
+			return [];
+		}
+
+		state.placement.peers.set(report.entryId, {
+			sequence: report.sequence,
+			processId: report.processId,
+			atMs: nowMs,
+			workByTarget: new Map(report.work.map(([targetId, running, readMs]) => [targetId, {running, readMs}])),
+		});
+		for (const [partId, targetId, tokens] of report.uses) {
+			state.placement.homes.recordUse(partId, targetId, tokens);
+		}
+
+		state.usage.merge(report);
+		if (state.membership.peers.has(report.entryId)) {
+			return [];
+		}
+
+		state.membership.peers.set(report.entryId, {
+			instanceId: report.entryId, availabilityZone: report.availabilityZone, region: '',
+		});
+		return [{
+			type: 'decision.record', name: 'peer.found', subject: report.entryId, detail: {processId: report.processId},
+		}];
+	},
+	tick(state, {nowMs}) {
+		const effects: ServingEffect[] = expireRegistrations(state.catalog, nowMs) ? [...applyCatalog(state)] : [];
+		for (const [entryId, peer] of state.placement.peers) {
+			if (nowMs - peer.atMs > PEER_FORGET_MS) {
+				state.placement.peers.delete(entryId);
+				state.membership.peers.delete(entryId);
+				effects.push({
+					type: 'decision.record', name: 'peer.lost', subject: entryId, detail: {silentMs: Math.round(nowMs - peer.atMs)},
+				});
+			}
+		}
+
+		return effects;
+	},
+	'stop.requested'(state, {signal}) {
+		state.isStopping = true;
+		return [{
+			type: 'decision.record', name: 'entry.stopping', subject: state.instanceId, detail: {signal, calls: state.calls.size},
+		}];
+	},
+};
+
+function applyCatalog(state: ServingState): readonly ServingEffect[] {
+	const targets = listTargets(state.catalog);
+	applyTargets(state.placement, targets);
+	return [{
+		type: 'decision.record',
+		name: 'targets.applied',
+		subject: state.instanceId,
+		detail: {targets: targets.length, leaving: targets.filter(({isLeaving}) => isLeaving).map(({targetId}) => targetId)},
+	}];
+}
--- /dev/null
+++ b/packages/core/src/serving/servingReducer.ts
@@ -0,0 +1,13 @@
+import {leaseHandlers} from '../lease/leaseHandlers.js';
+import {createReducer} from '../reducer/createReducer.js';
+import {servedUsageHandlers} from '../usage/servedUsageHandlers.js';
+import {callHandlers} from './callHandlers.js';
+import {peerHandlers} from './peerHandlers.js';
+import {type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {type ServingState} from './servingState.js';
+import {stageHandlers} from './stageHandlers.js';
+
+/** Decides everything that an entry does which sends to targets directly. */
+export const reduceServing = createReducer<ServingState, ServingEvent, ServingEffect>({
+	tables: [peerHandlers, callHandlers, leaseHandlers, servedUsageHandlers, stageHandlers],
+});
--- /dev/null
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -0,0 +1,295 @@
+import {randomUUID} from 'node:crypto';
+import {createServer, type Server} from 'node:http';
+import {
+	createServingState, type PeerReport, reduceServing, type ServingEffect, type ServingEvent, type ServingState,
+} from '@damaskspool/core';
+import {
+	createLoop, type DeploymentPorts, type DirectEntrySettings, type Logger, type Metrics,
+} from '@damaskspool/runtime';
+import {createFailure} from '@damaskspool/shared';
+import {createOperationsHandler} from '../createOperationsHandler.js';
+import {stopServer} from '../stopServer.js';
+import {type CallHandle} from './callHandle.js';
+import {createCallerServer} from './createCallerServer.js';
+import {createDutyEffects} from './createDutyEffects.js';
+import {createPeerDirectory} from './createPeerDirectory.js';
+import {createPeerLink} from './createPeerLink.js';
+import {createStoreFollower} from './createStoreFollower.js';
+import {createTargetPools} from './createTargetPools.js';
+import {runAttempt} from './runAttempt.js';
+import {writeHeldAnswer} from './writeHeldAnswer.js';
+import {writeRefusal} from './writeRefusal.js';
+
+/** Options of {@link createDirectEntry}. */
+export type DirectEntryOptions = {
+	readonly settings: DirectEntrySettings;
+	readonly ports: DeploymentPorts;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	/** Targets in stage `prefill` that are wanted; undefined leaves the stages as they are. */
+	readonly prefillTargets?: number | undefined;
+};
+
+/** An entry that sends to targets directly. */
+export type DirectEntry = {
+	readonly addresses: Readonly<Record<string, string>>;
+	/** Takes no new work, lets calls finish, and ends. */
+	readonly stop: (signal: string) => Promise<void>;
+};
+
+/** Time between ticks: a fraction of the shortest term and wait that ticks judge. */
+const TICK_MS = 250;
+/** Time for which a stopping entry takes new connections: the balancer asks once a second and needs two misses. */
+const LEAVE_MS = 2600;
+/** Part of the grace period that is left for the end of the process. */
+const END_RESERVE_MS = 700;
+/** Connections of one entry to one target where the configuration does not bound them. */
+const DEFAULT_CONNECTIONS = 24;
+/** Part of a target's connections that entries share; the rest is for entries that come meanwhile. */
+const SHARED_CONNECTIONS = 0.8;
+const LEAST_CONNECTIONS = 4;
+
+/**
+ * Starts an entry that sends to targets directly.
+ *
+ * @param options - settings, adapter, logs and metrics
+ * @returns the entry, listening
+ */
+export async function createDirectEntry(options: DirectEntryOptions): Promise<DirectEntry> {
+	const {settings, ports, logger, metrics} = options;
+	const {instanceId, availabilityZone, region} = settings;
+	const processId = randomUUID();
+	const handles = new Map<number, CallHandle>();
+	const limitTimers = new Map<number, NodeJS.Timeout>();
+	const pools = createTargetPools();
+	let isStopped = false;
+	let sequence = 0;
+
+	const state = createServingState({
+		...settings, instanceId, processId, availabilityZone, region, prefillTargets: options.prefillTargets,
+	});
+
+	const createReport = (): PeerReport => {
+		sequence += 1;
+		const uses = state.untoldUses;
+		state.untoldUses = [];
+		return {
+			entryId: instanceId,
+			processId,
+			availabilityZone,
+			sequence,
+			work: listWork(state),
+			uses,
+			usage: state.usage.listOwn(Date.now()),
+		};
+	};
+
+	const link = createPeerLink({
+		ip: settings.ip,
+		port: settings.peerPorts[0],
+		createReport,
+		onReport(report) {
+			loop.dispatch({type: 'peer.reported', report});
+		},
+		onFailure(detail) {
+			metrics.count('peer_failures');
+			logger.warn('peer.failed', {detail});
+		},
+	});
+
+	const findConnections = (serviceId: string) => {
+		const limit = state.configuration?.services.get(serviceId)?.connectionLimit;
+		return limit === undefined
+			? DEFAULT_CONNECTIONS
+			: Math.max(LEAST_CONNECTIONS, Math.floor(limit * SHARED_CONNECTIONS / Math.max(2, 1 + state.membership.peers.size)));
+	};
+
+	const endHandle = (callId: number) => {
+		clearTimeout(limitTimers.get(callId));
+		limitTimers.delete(callId);
+		handles.delete(callId);
+	};
+
+	const loop = createLoop<ServingState, ServingEvent, ServingEffect>({
+		state,
+		reduce: reduceServing,
+		effectHandlers: {
+			...createDutyEffects({
+				ports, instanceId, dispatch(event) {
+					loop.dispatch(event);
+				},
+			}),
+			'attempt.send'(send) {
+				const handle = handles.get(send.callId);
+				if (handle === undefined) {
+					return;
+				}
+
+				const {callId, attemptId} = send;
+				const cancel = runAttempt({
+					send,
+					handle,
+					pool: pools.find(send.target, findConnections(send.target.serviceId)),
+					ports,
+					onBegan() {
+						loop.dispatch({
+							type: 'attempt.began', callId, attemptId, wallMs: Date.now(),
+						});
+					},
+					onReadEnded(handleId, result) {
+						loop.dispatch({
+							type: 'attempt.readEnded', callId, attemptId, handleId, result,
+						});
+					},
+					onEnded(end) {
+						loop.dispatch({
+							type: 'attempt.ended', callId, attemptId, wallMs: Date.now(), ...end,
+						});
+					},
+				});
+				handle.cancelAttempt = cancel;
+			},
+			'attempt.cancel'({callId, attemptId}) {
+				handles.get(callId)?.cancelAttempt?.(attemptId);
+			},
+			'attempt.passOn'({callId}) {
+				const handle = handles.get(callId);
+				if (handle !== undefined) {
+					writeHeldAnswer(handle, ports);
+				}
+
+				endHandle(callId);
+			},
+			'call.limit'({callId, afterMs}) {
+				limitTimers.set(callId, setTimeout(() => {
+					loop.dispatch({type: 'call.expired', callId});
+				}, afterMs));
+			},
+			'call.refuse'({callId, code, outcome, retryAfterMs}) {
+				const handle = handles.get(callId);
+				metrics.count(`refusals{code="${code}"}`);
+				if (handle !== undefined) {
+					writeRefusal({response: handle.response, ports, failure: createFailure(code, {outcome, ...(retryAfterMs !== undefined && {retryAfterMs})})});
+				}
+
+				endHandle(callId);
+			},
+			async 'handle.free'({address, handleId}) {
+				await ports.freeHandle(address, handleId);
+			},
+			'work.tell'() {
+				link.tell();
+			},
+			'decision.record'({name, subject, detail}) {
+				logger.info(name, {subject, ...detail});
+				metrics.count(`decisions{name="${name}"}`);
+				if (name === 'call.ended') {
+					metrics.recordMs(`calls{outcome="${String(detail['outcome'])}"}`, Number(detail['tookMs']));
+				} else if (name === 'targets.applied') {
+					pools.retain(new Set(state.placement.targets.keys()));
+				} else if (name === 'configuration.applied' && state.configuration !== undefined) {
+					callers.applyLimits(state.configuration.limits);
+				}
+			},
+		},
+	});
+
+	const callers = createCallerServer({
+		ports,
+		findLimits: () => state.configuration?.limits,
+		isStopping: () => state.isStopping,
+		onCall(handle, call, waitedMs) {
+			const {callId} = handle;
+			handles.set(callId, handle);
+			loop.dispatch({
+				type: 'call.arrived', callId, call, wallMs: Date.now(), waitedMs,
+			});
+			handle.response.on('finish', () => {
+				endHandle(callId);
+			});
+		},
+		onLeft(callId) {
+			loop.dispatch({type: 'call.left', callId});
+			endHandle(callId);
+		},
+	});
+
+	const isReady = () => state.configuration !== undefined && state.hasTargets && !state.isStopping;
+	const operations = createOperationsHandler({
+		metrics,
+		isReady,
+		updateGauges() {
+			metrics.setGauge('calls_under_way', state.calls.size);
+			metrics.setGauge('peers', state.membership.peers.size);
+			metrics.setGauge('targets', state.placement.targets.size);
+		},
+	});
+	const readiness = createServer((request, response) => {
+		if (request.url === ports.readinessPath) {
+			response.writeHead(isReady() ? 200 : 503).end();
+		} else if (!operations(request, response)) {
+			response.writeHead(404).end();
+		}
+	});
+
+	await Promise.all([listenAt(callers.server, settings.callerAddress), listenAt(readiness, settings.readinessAddress)]);
+	createStoreFollower({
+		ports,
+		logger,
+		metrics,
+		dispatch(event) {
+			loop.dispatch(event);
+		},
+		isStopped: () => isStopped,
+	});
+	const directory = createPeerDirectory({
+		store: ports.store, kind: ports.objects.entries, instanceId, address: {ip: settings.ip, port: settings.peerPorts[0]}, processId, logger,
+		onPeers(addresses) {
+			link.applyPeers(addresses);
+			link.tell();
+		},
+	});
+	const ticker = setInterval(() => {
+		loop.dispatch({type: 'tick', wallMs: Date.now()});
+	}, TICK_MS);
+
+	return {
+		addresses: {callers: settings.callerAddress, readiness: settings.readinessAddress},
+		async stop(signal) {
+			loop.dispatch({type: 'stop.requested', signal});
+			const endAtMs = performance.now() + settings.graceMs - END_RESERVE_MS;
+			await new Promise(resolve => {
+				setTimeout(resolve, LEAVE_MS);
+			});
+			await stopServer({server: callers.server, isBusy: () => state.calls.size > 0, limitMs: Math.max(0, endAtMs - performance.now())});
+			link.flush();
+			isStopped = true;
+			clearInterval(ticker);
+			directory.stop();
+			readiness.close();
+			link.close();
+			await Promise.all([pools.close(), ports.close()]);
+		},
+	};
+}
+
+function listWork(state: ServingState): PeerReport['work'] {
+	const work: Array<PeerReport['work'][number]> = [];
+	for (const [targetId, {own}] of state.placement.targets) {
+		if (own.running > 0 || own.readMs > 0) {
+			work.push([targetId, own.running, Math.round(own.readMs)]);
+		}
+	}
+
+	return work;
+}
+
+async function listenAt(server: Server, address: string): Promise<void> {
+	const [host = '', port = ''] = address.split(':');
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(Number(port), host, () => {
+			resolve();
+		});
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -0,0 +1,77 @@
+import {z} from 'zod';
+import {type Logger, type MetadataStore} from '@damaskspool/runtime';
+
+/** Address at which an entry hears its peers. */
+export type PeerAddress = {readonly ip: string; readonly port: number};
+
+/** Options of {@link createPeerDirectory}. */
+export type PeerDirectoryOptions = {
+	readonly store: MetadataStore;
+	readonly kind: string;
+	readonly instanceId: string;
+	readonly processId: string;
+	readonly address: PeerAddress;
+	readonly logger: Logger;
+	readonly onPeers: (addresses: ReadonlyMap<string, PeerAddress>) => void;
+};
+
+/** Time between looks for new peers; a new one makes itself known by its first report, too. */
+const LIST_INTERVAL_MS = 4000;
+/** Wait after a failed call. */
+const RETRY_MS = 700;
+
+const entrySchema = z.object({ip: z.string(), port: z.number(), processId: z.string()});
+
+/**
+ * Registers an entry in the store and looks for its peers there.
+ *
+ * @param options - store, own name and address, and who is told of peers
+ * @returns a handle to stop it
+ */
+export function createPeerDirectory(options: PeerDirectoryOptions): {readonly stop: () => void} {
+	const {store, kind, instanceId, processId, address, logger, onPeers} = options;
+	let isRegistered = false;
+	let isStopped = false;
+	let timer: NodeJS.Timeout | undefined;
+
+	const run = async () => {
+		const listed = await store.list(kind);
+		let isFine = listed.ok;
+		if (listed.ok) {
+			const own = listed.val.objects.find(({name}) => name === instanceId);
+			if (!isRegistered) {
+				const written = await store.write(kind, instanceId, {...address, processId}, own?.version ?? 0);
+				isRegistered = written.ok;
+				isFine = written.ok;
+			}
+
+			const peers = new Map<string, PeerAddress>();
+			for (const {name, value} of listed.val.objects) {
+				const parsed = entrySchema.safeParse(value);
+				if (name === instanceId) {
+					continue;
+				}
+
+				if (parsed.success) {
+					peers.set(name, parsed.data);
+				} else {
+					logger.warn('peer.malformed', {name});
+				}
+			}
+
+			onPeers(peers);
+		}
+
+		if (!isStopped) {
+			timer = setTimeout(run, isFine ? LIST_INTERVAL_MS : RETRY_MS);
+		}
+	};
+
+	void run();
+	return {
+		stop() {
+			isStopped = true;
+			clearTimeout(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/direct/createStoreFollower.ts
@@ -0,0 +1,93 @@
+import {type ServingEvent, type TargetRecord} from '@damaskspool/core';
+import {
+	type DeploymentPorts, type Logger, type MetadataObject, type Metrics, type UntimedEvent,
+} from '@damaskspool/runtime';
+import {type Failure} from '@damaskspool/shared';
+import {watchObjects} from './watchObjects.js';
+
+/** Options of {@link createStoreFollower}. */
+export type StoreFollowerOptions = {
+	readonly ports: DeploymentPorts;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
+	readonly isStopped: () => boolean;
+};
+
+/**
+ * Follows configuration and targets in the store, and logs its loss and return once each.
+ *
+ * @param options - adapter, logs, and who takes the events
+ */
+export function createStoreFollower({ports, logger, metrics, dispatch, isStopped}: StoreFollowerOptions): void {
+	const lostKinds = new Set<string>();
+
+	const onFailure = (kind: string) => (failure: Failure) => {
+		metrics.count('store_failures');
+		dispatch({type: 'store.failed', detail: failure.message});
+		if (!lostKinds.has(kind)) {
+			lostKinds.add(kind);
+			logger.warn('store.lost', {kind, detail: failure.message});
+		}
+	};
+
+	const recordReturn = (kind: string, version: number) => {
+		if (lostKinds.delete(kind)) {
+			logger.info('store.regained', {kind, version});
+		}
+	};
+
+	const parseTargets = (objects: readonly MetadataObject[]) => {
+		const targets: TargetRecord[] = [];
+		const removed: string[] = [];
+		for (const {name, value, isRemoved} of objects) {
+			const parsed = isRemoved ? undefined : ports.parseTarget(name, value);
+			if (parsed?.ok === true) {
+				targets.push(parsed.val);
+				continue;
+			}
+
+			removed.push(name);
+			if (parsed !== undefined) {
+				metrics.count('targets_malformed');
+				logger.warn('target.malformed', {name, detail: parsed.val.message});
+			}
+		}
+
+		return {targets, removed};
+	};
+
+	const {configuration, targets} = ports.objects;
+	void watchObjects({
+		store: ports.store,
+		kind: targets,
+		isStopped,
+		onFailure: onFailure(targets),
+		onPage({objects, version}, isWhole) {
+			recordReturn(targets, version);
+			dispatch({type: 'targets.changed', isWhole, ...parseTargets(objects)});
+		},
+	});
+	void watchObjects({
+		store: ports.store,
+		kind: configuration.kind,
+		isStopped,
+		onFailure: onFailure(configuration.kind),
+		onPage({objects, version}) {
+			recordReturn(configuration.kind, version);
+			for (const {name, value, isRemoved} of objects) {
+				if (name !== configuration.name || isRemoved) {
+					continue;
+				}
+
+				const parsed = ports.parseConfiguration(value);
+				if (parsed.ok) {
+					dispatch({type: 'configuration.changed', configuration: parsed.val});
+				} else {
+					metrics.count('configurations_malformed');
+					logger.error('configuration.malformed', {version, detail: parsed.val.message});
+				}
+			}
+		},
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -0,0 +1,64 @@
+import {type Dispatcher, Pool} from 'undici';
+import {type TargetRecord} from '@damaskspool/core';
+
+/** Connections to targets, kept by incarnation. */
+export type TargetPools = {
+	readonly find: (target: TargetRecord, connections: number) => Dispatcher;
+	/** Closes the connections to targets that are no longer in use, once idle. */
+	readonly retain: (targetIds: ReadonlySet<string>) => void;
+	readonly close: () => Promise<void>;
+};
+
+/** Time to connect: many round trips, and well under the shortest goal that a second attempt can still meet. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle time after which a connection is closed where the target tells no shorter one. */
+const IDLE_TIMEOUT_MS = 2000;
+/** Longest idle time, whatever a target tells. */
+const IDLE_LIMIT_MS = 8000;
+
+/**
+ * Creates an empty set of pools.
+ *
+ * @returns the pools
+ */
+export function createTargetPools(): TargetPools {
+	const pools = new Map<string, {address: string; pool: Pool; connections: number}>();
+	const release = (pool: Pool) => {
+		// Requests under way end first; a failure to close means that the sockets are gone already.
+		pool.close().catch(() => pool.destroy());
+	};
+
+	return {
+		find(target, connections) {
+			const known = pools.get(target.targetId);
+			if (known?.address === target.address && known.connections === connections) {
+				return known.pool;
+			}
+
+			if (known !== undefined) {
+				release(known.pool);
+			}
+
+			const pool = new Pool(`http://${target.address}`, {
+				connections,
+				pipelining: 1,
+				connect: {timeout: CONNECT_TIMEOUT_MS},
+				keepAliveTimeout: IDLE_TIMEOUT_MS,
+				keepAliveMaxTimeout: IDLE_LIMIT_MS,
+			});
+			pools.set(target.targetId, {address: target.address, pool, connections});
+			return pool;
+		},
+		retain(targetIds) {
+			for (const [targetId, {pool}] of pools) {
+				if (!targetIds.has(targetId)) {
+					pools.delete(targetId);
+					release(pool);
+				}
+			}
+		},
+		async close() {
+			await Promise.all([...pools.values()].map(async ({pool}) => pool.destroy()));
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/direct/index.ts
@@ -0,0 +1,1 @@
+export * from './createDirectEntry.js';
--- /dev/null
+++ b/packages/daemon/src/direct/writeRefusal.ts
@@ -0,0 +1,31 @@
+import {type ServerResponse} from 'node:http';
+import {type DeploymentPorts} from '@damaskspool/runtime';
+import {ERROR_DESCRIPTIONS, type Failure} from '@damaskspool/shared';
+
+/** Options of {@link writeRefusal}. */
+export type RefusalOptions = {
+	readonly response: ServerResponse;
+	readonly ports: Pick<DeploymentPorts, 'refusalHeaders'>;
+	readonly failure: Failure;
+};
+
+/**
+ * Ends a call with an answer of the entry's own. Where part of an answer was
+ * passed on, the connection is broken off, so that nothing looks complete.
+ *
+ * @param options - where to write, and what is wrong
+ */
+export function writeRefusal({response, ports, failure}: RefusalOptions): void {
+	if (response.headersSent || response.destroyed) {
+		response.destroy();
+		return;
+	}
+
+	const body = JSON.stringify({error: {code: failure.code, outcome: failure.outcome, message: failure.message}});
+	response.writeHead(ERROR_DESCRIPTIONS[failure.code].status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		...ports.refusalHeaders(failure.retryAfterMs),
+	});
+	response.end(body);
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,3 +11,4 @@
 export * from './readSettings.js';
 export * from './splitServerSentEvents.js';
 export * from './writeWithBackPressure.js';
+export type * from './deploymentPorts.js';
