--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -67,6 +67,7 @@
 	plan.target.own.running += 1;
 	plan.target.own.readMs += plan.readMs;
 	rememberPrefix(state, served, plan);
+	served.plan ??= plan.detail;
 	return [
 		{
 			type: 'attempt.send',
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -37,6 +37,8 @@
 			excluded: new Set(),
 			generator: undefined,
 			isCounted: false,
+			beganAtMs: undefined,
+			plan: undefined,
 			isStarted: false,
 		};
 		state.calls.set(callId, served);
@@ -73,6 +75,7 @@
 
 		beginAttempt(state, served, {nowMs, wallMs});
 		served.isStarted = true;
+		served.beganAtMs ??= nowMs;
 		advanceRequest(served, {type: 'answer'});
 		return [{type: 'work.tell'}];
 	},
@@ -185,7 +188,7 @@
 		name: 'call.ended',
 		subject: call.requestId,
 		detail: {
-			outcome, route: served.route.name, target: attempt?.target.record.targetId, attempts: served.attempts, tookMs: Math.round(nowMs - served.arrivedAtMs),
+			outcome, route: served.route.name, target: attempt?.target.record.targetId, attempts: served.attempts, tookMs: Math.round(nowMs - served.arrivedAtMs), beganMs: served.beganAtMs === undefined ? undefined : Math.round(served.beganAtMs - served.arrivedAtMs), plan: served.plan,
 		},
 	}];
 	if (attempt !== undefined && outcome !== 'answered') {
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -38,6 +38,10 @@
 	/** Where the answer goes after its prompt was read apart. */
 	generator: PlacedTarget | undefined;
 	isCounted: boolean;
+	/** When the first bytes of an answer came in. */
+	beganAtMs: number | undefined;
+	/** Start that placement expected, and what it chose, for the log. */
+	plan: Readonly<Record<string, unknown>> | undefined;
 	/** Set once bytes of an answer went to the caller. */
 	isStarted: boolean;
 };
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -16,6 +16,7 @@
 import {createPeerLink} from './createPeerLink.js';
 import {createStoreFollower} from './createStoreFollower.js';
 import {createTargetPools} from './createTargetPools.js';
+import {type DirectSettings, directSettingsSchema} from './directSettings.js';
 import {runAttempt} from './runAttempt.js';
 import {writeHeldAnswer} from './writeHeldAnswer.js';
 import {writeRefusal} from './writeRefusal.js';
@@ -26,8 +27,8 @@
 	readonly ports: DeploymentPorts;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
-	/** Targets in stage `prefill` that are wanted; undefined leaves the stages as they are. */
-	readonly prefillTargets?: number | undefined;
+	/** What operators chose; defaults where left out. */
+	readonly choices?: DirectSettings;
 };
 
 /** An entry that sends to targets directly. */
@@ -56,7 +57,7 @@
  * @returns the entry, listening
  */
 export async function createDirectEntry(options: DirectEntryOptions): Promise<DirectEntry> {
-	const {settings, ports, logger, metrics} = options;
+	const {settings, ports, logger, metrics, choices = directSettingsSchema.parse({})} = options;
 	const {instanceId, availabilityZone, region} = settings;
 	const processId = randomUUID();
 	const handles = new Map<number, CallHandle>();
@@ -66,7 +67,7 @@
 	let sequence = 0;
 
 	const state = createServingState({
-		...settings, instanceId, processId, availabilityZone, region, prefillTargets: options.prefillTargets,
+		...settings, instanceId, processId, availabilityZone, region, prefillTargets: choices.prefillTargets, placementSettings: choices.placement,
 	});
 
 	const createReport = (): PeerReport => {
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -24,7 +24,7 @@
 };
 
 /** Shortest time between reports for a handful of peers: a fraction of the time that reading a prompt takes. */
-const REPORT_INTERVAL_MS = 5;
+const REPORT_INTERVAL_MS = 20;
 /** Peers for which that interval holds; it grows with their number, so that an entry's messages stay bounded. */
 const PEERS_AT_INTERVAL = 6;
 /** Longest time between reports. */
--- a/packages/daemon/src/direct/index.ts
+++ b/packages/daemon/src/direct/index.ts
@@ -1,1 +1,2 @@
 export * from './createDirectEntry.js';
+export * from './directSettings.js';
