--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -18,6 +18,10 @@
 	readonly source: PlacedTarget | undefined;
 	/** Time that the reading target needs for the prompt. */
 	readonly readMs: number;
+	/** Time for which links copy KV cache before the first event. */
+	readonly copyMs: number;
+	/** Whether the prompt counts as a long one. */
+	readonly isLong: boolean;
 	/** Time expected until the first event. */
 	readonly startMs: number;
 	/** Sum of the weighed losses; the lowest is chosen. */
@@ -53,7 +57,14 @@
 /** Share of the time to the goal below which no answer is expected to be late. */
 const SAFE_SHARE_OF_GOAL = 0.5;
 
-type Candidate = {readonly target: PlacedTarget; readonly running: number; readonly backlogMs: number};
+type Candidate = {
+	readonly target: PlacedTarget;
+	readonly running: number;
+	/** Time before the target begins to read this prompt. */
+	readonly backlogMs: number;
+	/** Time before its link is free. */
+	readonly copyMs: number;
+};
 
 /**
  * Places a generation.
@@ -63,8 +74,11 @@
  */
 export function placeGeneration(options: PlaceGenerationOptions): GenerationPlan | undefined {
 	const candidates = listCandidates(options);
-	const generators = candidates.filter(({target}) => target.record.stage !== STAGES.prefill);
-	const readers = options.demand.prompt.tokens > options.settings.longReadTokens
+	const isLong = isLongPrompt(options.demand, options.settings);
+	const reserved = isLong ? options.settings.reservedSlots : 0;
+	const generators = candidates.filter(({target, running}) =>
+		target.record.stage !== STAGES.prefill && (!isLong || running < target.record.slots - reserved));
+	const readers = isLong
 		? candidates.filter(({target}) => target.record.stage === STAGES.prefill)
 		: [];
 	let best: GenerationPlan | undefined;
@@ -85,7 +99,12 @@
 	return best;
 }
 
-function listCandidates({state, demand, nowMs}: PlaceGenerationOptions): Candidate[] {
+function isLongPrompt({prompt}: GenerationDemand, {longReadTokens}: PlacementSettings): boolean {
+	return prompt.tokens > longReadTokens;
+}
+
+function listCandidates({state, demand, settings, nowMs}: PlaceGenerationOptions): Candidate[] {
+	const isLong = isLongPrompt(demand, settings);
 	const inUse: Candidate[] = [];
 	const avoided: Candidate[] = [];
 	for (const target of state.targets.values()) {
@@ -94,8 +113,12 @@
 			continue;
 		}
 
-		const {running, readMs} = sumWork(state, target, nowMs);
-		(target.avoidUntilMs > nowMs ? avoided : inUse).push({target, running, backlogMs: readMs});
+		const {running, readMs, shortReadMs, copyMs} = sumWork(state, target, nowMs);
+		const pieceMs = settings.decodePieceTokens / settings.readTokensPerMs / settings.decodeReadShare;
+		const backlogMs = isLong ? readMs : shortReadMs + Math.min(readMs - shortReadMs, pieceMs);
+		(target.avoidUntilMs > nowMs ? avoided : inUse).push({
+			target, running, backlogMs, copyMs,
+		});
 	}
 
 	return inUse.length > 0 ? inUse : avoided;
@@ -131,12 +154,13 @@
 	const source = pickSource(options, reading.target, keptTokens);
 	const cachedTokens = Math.max(keptTokens, source?.tokens ?? 0);
 	const readTokens = Math.max(0, demand.prompt.tokens - cachedTokens);
-	const readMs = computeReadMs(settings, readTokens, cachedTokens, isApart);
+	const readMs = computeReadMs(settings, reading, {readTokens, cachedTokens});
 	const fetchMs = source === undefined ? 0 : computeCopyMs(options, source.tokens - keptTokens, source.target, reading.target);
 	const moveMs = generator === undefined ? 0 : computeCopyMs(options, demand.prompt.tokens, reading.target, generator.target);
 	const copyTokens = (source === undefined ? 0 : source.tokens - keptTokens) + (generator === undefined ? 0 : demand.prompt.tokens);
 	const slotMs = computeSlotWait(settings, reading) + (generator === undefined ? 0 : computeSlotWait(settings, generator));
-	const startMs = reading.backlogMs + readMs + fetchMs + moveMs + slotMs + settings.firstEventMs;
+	const linkMs = fetchMs + moveMs > 0 ? Math.max(reading.copyMs, generator?.copyMs ?? 0) : 0;
+	const startMs = Math.max(reading.backlogMs, linkMs) + readMs + fetchMs + moveMs + slotMs + settings.firstEventMs;
 	const loss = computeLateLoss(settings, startMs, demand.goalLeftMs)
 		+ (readMs * settings.readLossPerMs)
 		+ (startMs * settings.readLossPerMs / 2)
@@ -148,7 +172,9 @@
 		target: (generator ?? reading).target,
 		reader: isApart ? reading.target : undefined,
 		source: source?.target,
-		readMs: readMs + fetchMs,
+		readMs,
+		copyMs: fetchMs + moveMs,
+		isLong: isLongPrompt(demand, settings),
 		startMs,
 		loss,
 	};
@@ -193,10 +219,16 @@
 	return best;
 }
 
-function computeReadMs(settings: PlacementSettings, readTokens: number, cachedTokens: number, isApart: boolean): number {
+/** A target that generates reads in pieces, and makes a step for those that run after each. */
+function computeReadMs(settings: PlacementSettings, {target, running}: Candidate, {readTokens, cachedTokens}: {readTokens: number; cachedTokens: number}): number {
 	const fullSpeedMs = (readTokens / settings.readTokensPerMs)
 		+ (readTokens * (cachedTokens + (readTokens / 2)) * settings.pairsMsPerMillion / PAIRS_PER_MILLION);
-	return isApart ? fullSpeedMs : fullSpeedMs / settings.decodeReadShare;
+	if (target.record.stage === STAGES.prefill) {
+		return fullSpeedMs;
+	}
+
+	const stepsMs = running > 0 ? readTokens / settings.decodePieceTokens * settings.stepMs : 0;
+	return (fullSpeedMs / settings.decodeReadShare) + stepsMs;
 }
 
 function computeCopyGb({engine}: PlaceGenerationOptions, tokens: number): number {
--- a/packages/core/src/placement/placementSettings.ts
+++ b/packages/core/src/placement/placementSettings.ts
@@ -8,6 +8,12 @@
 	readonly pairsMsPerMillion: number;
 	/** Time from the send of a prompt that is wholly cached to its first event. */
 	readonly firstEventMs: number;
+	/** Tokens that a target in stage `decode` reads between two steps of its generation. */
+	readonly decodePieceTokens: number;
+	/** Time of one step of generation, which a piece waits for. */
+	readonly stepMs: number;
+	/** Slots of a target that long prompts leave to short ones. */
+	readonly reservedSlots: number;
 	/** Time before a copy of KV cache begins. */
 	readonly copySetupMs: number;
 	/** How much longer a copy between zones takes. */
@@ -36,6 +42,9 @@
 	decodeReadShare: 0.5,
 	pairsMsPerMillion: 0.109,
 	firstEventMs: 34,
+	decodePieceTokens: 256,
+	stepMs: 3.8,
+	reservedSlots: 2,
 	copySetupMs: 8,
 	crossZoneCopyFactor: 2,
 	slotWaitMs: 30,
--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -7,6 +7,10 @@
 	running: number;
 	/** Time that the target needs for the prompts of this entry that it has not read yet. */
 	readMs: number;
+	/** Part of that time which goes to short prompts; these go before long ones. */
+	shortReadMs: number;
+	/** Time for which its link copies KV cache for prompts that it has not read yet. */
+	copyMs: number;
 };
 
 /** What a peer entry said last of its own work. */
@@ -80,7 +84,7 @@
 		const known = state.targets.get(record.targetId);
 		if (known === undefined) {
 			state.targets.set(record.targetId, {
-				record, own: {running: 0, readMs: 0}, avoidUntilMs: 0, failuresInRow: 0, changesStageUntilMs: 0,
+				record, own: createTargetWork(), avoidUntilMs: 0, failuresInRow: 0, changesStageUntilMs: 0,
 			});
 			continue;
 		}
@@ -108,18 +112,32 @@
  * @returns requests and reading time; a peer's reading time is shortened by the age of its message
  */
 export function sumWork(state: PlacementState, target: PlacedTarget, nowMs: number): TargetWork {
-	let {running, readMs} = target.own;
+	const sum = {...target.own};
 	for (const peer of state.peers.values()) {
 		const work = peer.workByTarget.get(target.record.targetId);
-		if (work === undefined || nowMs - peer.atMs > PEER_SILENCE_MS) {
+		const ageMs = nowMs - peer.atMs;
+		if (work === undefined || ageMs > PEER_SILENCE_MS) {
 			continue;
 		}
 
-		running += work.running;
-		readMs += Math.max(0, work.readMs - (nowMs - peer.atMs));
+		sum.running += work.running;
+		sum.readMs += Math.max(0, work.readMs - ageMs);
+		sum.shortReadMs += Math.max(0, work.shortReadMs - ageMs);
+		sum.copyMs += Math.max(0, work.copyMs - ageMs);
 	}
 
-	return {running, readMs};
+	return sum;
+}
+
+/**
+ * Creates the work of an entry that has nothing under way.
+ *
+ * @returns no work
+ */
+export function createTargetWork(): TargetWork {
+	return {
+		running: 0, readMs: 0, shortReadMs: 0, copyMs: 0,
+	};
 }
 
 /**
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -7,7 +7,7 @@
 import {advanceRequest} from '../request/requestRecord.js';
 import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect} from './servingMessages.js';
 import {STAGES, type EngineRecord} from './servingRecords.js';
-import {type ServingCall, type ServingState} from './servingState.js';
+import {type CallAttempt, type ServingCall, type ServingState} from './servingState.js';
 
 /** KV cache of a prompt that was read apart. */
 export type ReadHandle = {readonly address: string; readonly handleId: string};
@@ -15,7 +15,7 @@
 type AttemptPlan = {
 	readonly target: PlacedTarget;
 	readonly isRead: boolean;
-	readonly readMs: number;
+	readonly counted: CallAttempt['counted'];
 	readonly handle: ReadHandle | undefined;
 	readonly source: PlacedTarget | undefined;
 	readonly detail: Readonly<Record<string, unknown>>;
@@ -27,6 +27,8 @@
 const DEFAULT_RANK = 5;
 /** Wait told with a refusal that no estimate stands behind. */
 const DEFAULT_RETRY_AFTER_MS = 500;
+/** Work of an attempt that reads no prompt. */
+const NOTHING_READ = {readMs: 0, shortReadMs: 0, copyMs: 0} as const;
 /** Rank steps kept for one priority of a route. */
 const RANK_LIMIT = 9;
 
@@ -42,6 +44,7 @@
  */
 // eslint-disable-next-line max-params
 export function planNextAttempt(state: ServingState, served: ServingCall, nowMs: number, handle?: ReadHandle, isKnownRun = false): readonly ServingEffect[] {
+	releaseReservation(served);
 	const leftMs = served.timeoutAtMs - nowMs;
 	const isRepeat = served.attempts > 0 && handle === undefined;
 	if (leftMs < LEAST_LEFT_MS || (isRepeat && !mayRepeat(state, served, nowMs))) {
@@ -62,10 +65,10 @@
 	// Taking a read prompt over is not another attempt: the read before it was not counted.
 	served.attempts += plan.isRead ? 0 : 1;
 	served.attempt = {
-		attemptId, target: plan.target, isRead: plan.isRead, readMs: plan.readMs, sentAtMs: nowMs, isBegun: false,
+		attemptId, target: plan.target, isRead: plan.isRead, counted: {...plan.counted}, sentAtMs: nowMs, isBegun: false,
 	};
 	plan.target.own.running += 1;
-	plan.target.own.readMs += plan.readMs;
+	countWork(plan.target, plan.counted, 1);
 	rememberPrefix(state, served, plan);
 	served.plan ??= plan.detail;
 	return [
@@ -95,6 +98,19 @@
 	];
 }
 
+/**
+ * Frees the slot that a call holds at the target which is to generate its answer.
+ *
+ * @param served - the call, changed
+ */
+export function releaseReservation(served: ServingCall): void {
+	if (served.isReserved && served.generator !== undefined) {
+		served.generator.own.running = Math.max(0, served.generator.own.running - 1);
+	}
+
+	served.isReserved = false;
+}
+
 function mayRepeat(state: ServingState, served: ServingCall, nowMs: number): boolean {
 	return served.attempts < served.route.attemptLimit
 		&& state.budget.take(served.serviceId, countEntries(state, nowMs), nowMs);
@@ -122,7 +138,7 @@
 	return plan === undefined
 		? {refusal: ERROR_CODES.noTarget, retryAfterMs: DEFAULT_RETRY_AFTER_MS}
 		: {
-			target: plan.target, isRead: false, readMs: 0, handle: undefined, source: undefined, detail: {running: plan.running},
+			target: plan.target, isRead: false, counted: NOTHING_READ, handle: undefined, source: undefined, detail: {running: plan.running},
 		};
 }
 
@@ -153,10 +169,15 @@
 	}
 
 	served.generator = plan.reader === undefined ? undefined : plan.target;
+	if (served.generator !== undefined) {
+		served.generator.own.running += 1;
+		served.isReserved = true;
+	}
+
 	return {
 		target: plan.reader ?? plan.target,
 		isRead: plan.reader !== undefined,
-		readMs: plan.readMs,
+		counted: {readMs: plan.readMs, shortReadMs: plan.isLong ? 0 : plan.readMs, copyMs: plan.copyMs},
 		handle: undefined,
 		source: plan.source,
 		detail: describePlan(plan),
@@ -179,7 +200,7 @@
 	return target === undefined
 		? undefined
 		: {
-			target, isRead: false, readMs: 0, handle, source: undefined, detail: {tookOver: handle.handleId},
+			target, isRead: false, counted: NOTHING_READ, handle, source: undefined, detail: {tookOver: handle.handleId},
 		};
 }
 
@@ -217,8 +238,7 @@
 export function beginAttempt(state: ServingState, served: ServingCall, {wallMs}: {nowMs: number; wallMs: number}): void {
 	const attempt = served.attempt!;
 	attempt.isBegun = true;
-	attempt.target.own.readMs = Math.max(0, attempt.target.own.readMs - attempt.readMs);
-	attempt.readMs = 0;
+	releaseWork(attempt);
 	recordAnswer(attempt.target);
 	if (!served.isCounted) {
 		served.isCounted = true;
@@ -228,6 +248,17 @@
 	}
 }
 
+function countWork({own}: PlacedTarget, {readMs, shortReadMs, copyMs}: CallAttempt['counted'], sign: 1 | -1): void {
+	own.readMs = Math.max(0, own.readMs + (sign * readMs));
+	own.shortReadMs = Math.max(0, own.shortReadMs + (sign * shortReadMs));
+	own.copyMs = Math.max(0, own.copyMs + (sign * copyMs));
+}
+
+function releaseWork(attempt: CallAttempt): void {
+	countWork(attempt.target, attempt.counted, -1);
+	attempt.counted = {...NOTHING_READ};
+}
+
 /** Results that speak against the target that gave them. */
 const FAULTS: ReadonlySet<AttemptResult> = new Set([ATTEMPT_RESULTS.unreached, ATTEMPT_RESULTS.unknown, ATTEMPT_RESULTS.failed]);
 
@@ -246,8 +277,7 @@
 
 	const {own} = attempt.target;
 	own.running = Math.max(0, own.running - 1);
-	own.readMs = Math.max(0, own.readMs - attempt.readMs);
-	attempt.readMs = 0;
+	releaseWork(attempt);
 	if (FAULTS.has(result)) {
 		recordFault(attempt.target, nowMs);
 	} else if (result === ATTEMPT_RESULTS.answered) {
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -1,7 +1,7 @@
 import {ERROR_CODES, type ErrorCode, OUTCOMES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
-import {beginAttempt, endAttemptWork, planNextAttempt, refuseCall} from './callAttempts.js';
+import {beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation} from './callAttempts.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
@@ -36,6 +36,7 @@
 			attempts: 0,
 			excluded: new Set(),
 			generator: undefined,
+			isReserved: false,
 			isCounted: false,
 			beganAtMs: undefined,
 			plan: undefined,
@@ -183,6 +184,7 @@
 function endCall(state: ServingState, served: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
 	const {attempt, callId, call} = served;
 	state.calls.delete(callId);
+	releaseReservation(served);
 	const effects: ServingEffect[] = [{
 		type: 'decision.record',
 		name: 'call.ended',
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -48,7 +48,9 @@
 			sequence: report.sequence,
 			processId: report.processId,
 			atMs: nowMs,
-			workByTarget: new Map(report.work.map(([targetId, running, readMs]) => [targetId, {running, readMs}])),
+			workByTarget: new Map(report.work.map(([targetId, running, readMs, shortReadMs, copyMs]) => [targetId, {
+				running, readMs, shortReadMs, copyMs,
+			}])),
 		});
 		for (const [partId, targetId, tokens] of report.uses) {
 			state.placement.homes.recordUse(partId, targetId, tokens);
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,7 +1,6 @@
-import {type ErrorCode, type LeaseRecord, type Outcome} from '@damaskspool/shared';
+import {type ErrorCode, type Outcome} from '@damaskspool/shared';
 import {type BaseEvent} from '../reducer/createReducer.js';
 import {type LeaseEffect, type LeaseEvent} from '../lease/leaseMessages.js';
-import {type TargetWork} from '../placement/placementState.js';
 import {type PromptRecord, type ServingConfiguration, type Stage, type TargetRecord} from './servingRecords.js';
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
@@ -103,7 +102,7 @@
 	readonly processId: string;
 	readonly availabilityZone: string;
 	readonly sequence: number;
-	readonly work: ReadonlyArray<readonly [targetId: string, running: number, readMs: number]>;
+	readonly work: ReadonlyArray<readonly [targetId: string, running: number, readMs: number, shortReadMs: number, copyMs: number]>;
 	/** Shared parts that targets were lately given. */
 	readonly uses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
 	/** Counts so far of the latest windows. */
@@ -130,9 +129,3 @@
 		| Timed<'usage.reportEnded', {readonly windowId: number; readonly status: number | undefined}>
 		| Timed<'tick', {readonly wallMs: number}>
 		| Timed<'stop.requested', {readonly signal: string}>;
-
-/** Work of one entry at one target as told to peers. */
-export type ToldWork = TargetWork;
-
-/** Lease record, repeated here for callers of the events. */
-export type DutyLease = LeaseRecord;
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -14,8 +14,8 @@
 	readonly attemptId: number;
 	readonly target: PlacedTarget;
 	readonly isRead: boolean;
-	/** Reading time counted for the target until its first bytes. */
-	readMs: number;
+	/** Reading and copying counted for the target until its first bytes. */
+	counted: {readMs: number; shortReadMs: number; copyMs: number};
 	readonly sentAtMs: number;
 	isBegun: boolean;
 };
@@ -37,6 +37,8 @@
 	readonly excluded: Set<string>;
 	/** Where the answer goes after its prompt was read apart. */
 	generator: PlacedTarget | undefined;
+	/** Whether a slot of `generator` is counted as taken until then. */
+	isReserved: boolean;
 	isCounted: boolean;
 	/** When the first bytes of an answer came in. */
 	beganAtMs: number | undefined;
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -42,8 +42,12 @@
 const TICK_MS = 250;
 /** Time for which a stopping entry takes new connections: the balancer asks once a second and needs two misses. */
 const LEAVE_MS = 2600;
+/** Characters of a process's identifier: enough to tell the few processes of one instance apart, in every report. */
+const PROCESS_ID_LENGTH = 8;
 /** Part of the grace period that is left for the end of the process. */
 const END_RESERVE_MS = 700;
+/** Time between reports that carry usage: what a killed entry counted since its last one is lost, which must stay far below the tolerance of a window. */
+const USAGE_INTERVAL_MS = 250;
 /** Connections of one entry to one target where the configuration does not bound them. */
 const DEFAULT_CONNECTIONS = 24;
 /** Part of a target's connections that entries share; the rest is for entries that come meanwhile. */
@@ -59,12 +63,13 @@
 export async function createDirectEntry(options: DirectEntryOptions): Promise<DirectEntry> {
 	const {settings, ports, logger, metrics, choices = directSettingsSchema.parse({})} = options;
 	const {instanceId, availabilityZone, region} = settings;
-	const processId = randomUUID();
+	const processId = randomUUID().slice(0, PROCESS_ID_LENGTH);
 	const handles = new Map<number, CallHandle>();
 	const limitTimers = new Map<number, NodeJS.Timeout>();
 	const pools = createTargetPools();
 	let isStopped = false;
 	let sequence = 0;
+	let usageToldAtMs = 0;
 
 	const state = createServingState({
 		...settings, instanceId, processId, availabilityZone, region, prefillTargets: choices.prefillTargets, placementSettings: choices.placement,
@@ -73,6 +78,11 @@
 	const createReport = (): PeerReport => {
 		sequence += 1;
 		const uses = state.untoldUses;
+		const isUsageDue = state.isStopping || performance.now() - usageToldAtMs >= USAGE_INTERVAL_MS;
+		if (isUsageDue) {
+			usageToldAtMs = performance.now();
+		}
+
 		state.untoldUses = [];
 		return {
 			entryId: instanceId,
@@ -81,7 +91,7 @@
 			sequence,
 			work: listWork(state),
 			uses,
-			usage: state.usage.listOwn(Date.now()),
+			usage: isUsageDue ? state.usage.listOwn(Date.now()) : [],
 		};
 	};
 
@@ -278,7 +288,7 @@
 	const work: Array<PeerReport['work'][number]> = [];
 	for (const [targetId, {own}] of state.placement.targets) {
 		if (own.running > 0 || own.readMs > 0) {
-			work.push([targetId, own.running, Math.round(own.readMs)]);
+			work.push([targetId, own.running, Math.round(own.readMs), Math.round(own.shortReadMs), Math.round(own.copyMs)]);
 		}
 	}
 
