Weigh how reading delays what generates, and count a slot held for later in part

Change: reading at a target that generates costs what runs there, and a slot held for a read prompt counts 0.3.

--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -20,6 +20,10 @@
 	readonly readMs: number;
 	/** Time for which links copy KV cache before the first event. */
 	readonly copyMs: number;
+	/** Time before the reading target begins. */
+	readonly backlogMs: number;
+	/** Tokens that no target has to read, as they are kept somewhere. */
+	readonly cachedTokens: number;
 	/** Whether the prompt counts as a long one. */
 	readonly isLong: boolean;
 	/** Time expected until the first event. */
@@ -75,9 +79,9 @@
 export function placeGeneration(options: PlaceGenerationOptions): GenerationPlan | undefined {
 	const candidates = listCandidates(options);
 	const isLong = isLongPrompt(options.demand, options.settings);
-	const reserved = isLong ? options.settings.reservedSlots : 0;
+	const {longSlotShare} = options.settings;
 	const generators = candidates.filter(({target, running}) =>
-		target.record.stage !== STAGES.prefill && (!isLong || running < target.record.slots - reserved));
+		target.record.stage !== STAGES.prefill && (!isLong || running < target.record.slots * longSlotShare));
 	const readers = isLong
 		? candidates.filter(({target}) => target.record.stage === STAGES.prefill)
 		: [];
@@ -157,12 +161,14 @@
 	const readMs = computeReadMs(settings, reading, {readTokens, cachedTokens});
 	const fetchMs = source === undefined ? 0 : computeCopyMs(options, source.tokens - keptTokens, source.target, reading.target);
 	const moveMs = generator === undefined ? 0 : computeCopyMs(options, demand.prompt.tokens, reading.target, generator.target);
+	const handoverMs = generator === undefined ? 0 : settings.handoverMs;
 	const copyTokens = (source === undefined ? 0 : source.tokens - keptTokens) + (generator === undefined ? 0 : demand.prompt.tokens);
 	const slotMs = computeSlotWait(settings, reading) + (generator === undefined ? 0 : computeSlotWait(settings, generator));
 	const linkMs = fetchMs + moveMs > 0 ? Math.max(reading.copyMs, generator?.copyMs ?? 0) : 0;
-	const startMs = Math.max(reading.backlogMs, linkMs) + readMs + fetchMs + moveMs + slotMs + settings.firstEventMs;
+	const startMs = Math.max(reading.backlogMs, linkMs) + readMs + fetchMs + moveMs + slotMs + handoverMs + settings.firstEventMs;
 	const loss = computeLateLoss(settings, startMs, demand.goalLeftMs)
 		+ (readMs * settings.readLossPerMs)
+		+ (isApart ? 0 : readMs * computeDelayLoss(settings, reading))
 		+ (startMs * settings.readLossPerMs / 2)
 		+ (computeCopyGb(options, copyTokens) * settings.copyLossPerGb)
 		+ computeSlotLoss(options, generator ?? reading)
@@ -174,6 +180,8 @@
 		source: source?.target,
 		readMs,
 		copyMs: fetchMs + moveMs,
+		backlogMs: Math.max(reading.backlogMs, linkMs),
+		cachedTokens,
 		isLong: isLongPrompt(demand, settings),
 		startMs,
 		loss,
@@ -249,6 +257,11 @@
 	return settings.slotLoss * ((running + 1) / target.record.slots) ** 2;
 }
 
+/** Loss of a millisecond of reading at a target that generates: all that run there wait, and keep their slots the longer. */
+function computeDelayLoss({delayLossPerMs}: PlacementSettings, {target, running}: Candidate): number {
+	return delayLossPerMs * running * (running / target.record.slots) ** 2;
+}
+
 function computeBodyLoss({state, demand, settings}: PlaceGenerationOptions, target: PlacedTarget): number {
 	return target.record.availabilityZone === state.availabilityZone ? 0 : demand.bodyBytes / BYTES_PER_KB * settings.crossZoneLossPerKb;
 }
--- a/packages/core/src/placement/placementSettings.ts
+++ b/packages/core/src/placement/placementSettings.ts
@@ -12,8 +12,14 @@
 	readonly decodePieceTokens: number;
 	/** Time of one step of generation, which a piece waits for. */
 	readonly stepMs: number;
-	/** Slots of a target that long prompts leave to short ones. */
-	readonly reservedSlots: number;
+	/** Requests, as a share of a target's slots, below which it is given one more long prompt; short ones take what is left. */
+	readonly longSlotShare: number;
+	/** Part of a slot that is counted as taken while its prompt is still read elsewhere. */
+	readonly reservedSlotShare: number;
+	/** Steps of a target's own rank between two priorities of routes; zero lets no request preempt another. */
+	readonly rankStep: number;
+	/** Time that a second target adds to the start, besides reading and copying. */
+	readonly handoverMs: number;
 	/** Time before a copy of KV cache begins. */
 	readonly copySetupMs: number;
 	/** How much longer a copy between zones takes. */
@@ -24,6 +30,8 @@
 	readonly lateLoss: number;
 	/** Loss of a millisecond of reading, which other requests then wait for. */
 	readonly readLossPerMs: number;
+	/** Loss of a millisecond by which reading delays one request that generates at a target whose slots are all taken. */
+	readonly delayLossPerMs: number;
 	/** Loss of a kilobyte of request body between zones. */
 	readonly crossZoneLossPerKb: number;
 	/** Loss of a gigabyte of KV cache copied. */
@@ -44,12 +52,16 @@
 	firstEventMs: 34,
 	decodePieceTokens: 256,
 	stepMs: 3.8,
-	reservedSlots: 2,
+	longSlotShare: 0.95,
+	reservedSlotShare: 0.3,
+	rankStep: 2,
+	handoverMs: 60,
 	copySetupMs: 8,
 	crossZoneCopyFactor: 2,
 	slotWaitMs: 30,
 	lateLoss: 0.7,
 	readLossPerMs: 0.002,
+	delayLossPerMs: 0.0005,
 	crossZoneLossPerKb: 0.004,
 	copyLossPerGb: 0.08,
 	slotLoss: 0.05,
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -23,13 +23,11 @@
 
 /** Least time left with which an attempt is worth sending. */
 const LEAST_LEFT_MS = 20;
-/** Rank that a target gives to requests that carry none. */
-const DEFAULT_RANK = 5;
 /** Wait told with a refusal that no estimate stands behind. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 /** Work of an attempt that reads no prompt. */
 const NOTHING_READ = {readMs: 0, shortReadMs: 0, copyMs: 0} as const;
-/** Rank steps kept for one priority of a route. */
+/** Last rank that a target knows. */
 const RANK_LIMIT = 9;
 
 /**
@@ -44,7 +42,7 @@
  */
 // eslint-disable-next-line max-params
 export function planNextAttempt(state: ServingState, served: ServingCall, nowMs: number, handle?: ReadHandle, isKnownRun = false): readonly ServingEffect[] {
-	releaseReservation(served);
+	releaseReservation(state, served);
 	const leftMs = served.timeoutAtMs - nowMs;
 	const isRepeat = served.attempts > 0 && handle === undefined;
 	if (leftMs < LEAST_LEFT_MS || (isRepeat && !mayRepeat(state, served, nowMs))) {
@@ -101,11 +99,12 @@
 /**
  * Frees the slot that a call holds at the target which is to generate its answer.
  *
+ * @param state - state of the entry
  * @param served - the call, changed
  */
-export function releaseReservation(served: ServingCall): void {
+export function releaseReservation(state: ServingState, served: ServingCall): void {
 	if (served.isReserved && served.generator !== undefined) {
-		served.generator.own.running = Math.max(0, served.generator.own.running - 1);
+		served.generator.own.running = Math.max(0, served.generator.own.running - state.placementSettings.reservedSlotShare);
 	}
 
 	served.isReserved = false;
@@ -170,7 +169,7 @@
 
 	served.generator = plan.reader === undefined ? undefined : plan.target;
 	if (served.generator !== undefined) {
-		served.generator.own.running += 1;
+		served.generator.own.running += state.placementSettings.reservedSlotShare;
 		served.isReserved = true;
 	}
 
@@ -184,9 +183,9 @@
 	};
 }
 
-function describePlan({startMs, readMs, loss, source, reader, target}: GenerationPlan) {
+function describePlan({startMs, readMs, copyMs, backlogMs, cachedTokens, loss, source, reader, target}: GenerationPlan) {
 	return {
-		startMs: Math.round(startMs), readMs: Math.round(readMs), loss: Number(loss.toFixed(3)), source: source?.record.targetId, generator: reader === undefined ? undefined : target.record.targetId,
+		startMs: Math.round(startMs), backlogMs: Math.round(backlogMs), readMs: Math.round(readMs), copyMs: Math.round(copyMs), cachedTokens, loss: Number(loss.toFixed(3)), source: source?.record.targetId, generator: reader === undefined ? undefined : target.record.targetId,
 	};
 }
 
@@ -225,7 +224,7 @@
 }
 
 function toRank(state: ServingState, served: ServingCall): number {
-	return state.configuration === undefined ? DEFAULT_RANK : Math.min(RANK_LIMIT, Math.max(0, served.route.priority * 2));
+	return Math.min(RANK_LIMIT, Math.max(0, served.route.priority * state.placementSettings.rankStep));
 }
 
 /**
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -184,7 +184,7 @@
 function endCall(state: ServingState, served: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
 	const {attempt, callId, call} = served;
 	state.calls.delete(callId);
-	releaseReservation(served);
+	releaseReservation(state, served);
 	const effects: ServingEffect[] = [{
 		type: 'decision.record',
 		name: 'call.ended',
