--- a/packages/core/src/request/requestRecord.ts
+++ b/packages/core/src/request/requestRecord.ts
@@ -65,6 +65,11 @@
 	};
 }
 
+const FIRST_SNAPSHOTS = {
+	repeatable: initialTransition(requestMachine, {isRepeatable: true})[0],
+	once: initialTransition(requestMachine, {isRepeatable: false})[0],
+} as const;
+
 /**
  * Creates the first snapshot of a request.
  *
@@ -72,8 +77,7 @@
  * @returns the snapshot, in state `choosing`
  */
 export function createRequestSnapshot(isRepeatable: boolean): RequestSnapshot {
-	const [snapshot] = initialTransition(requestMachine, {isRepeatable});
-	return snapshot;
+	return isRepeatable ? FIRST_SNAPSHOTS.repeatable : FIRST_SNAPSHOTS.once;
 }
 
 /**
@@ -84,7 +88,29 @@
  * @returns the state that the request is in now
  */
 export function advanceRequest(record: {snapshot: RequestSnapshot}, event: RequestMachineEvent): RequestMachineState {
-	const [snapshot] = transition(requestMachine, record.snapshot, event);
-	record.snapshot = snapshot;
-	return snapshot.value as RequestMachineState;
+	const known = findTransitions(record.snapshot);
+	let next = known.get(event.type);
+	if (next === undefined) {
+		[next] = transition(requestMachine, record.snapshot, event);
+		known.set(event.type, next);
+	}
+
+	record.snapshot = next;
+	return next.value as RequestMachineState;
+}
+
+/**
+ * Snapshots hold nothing of a single request, so the few that there are are
+ * shared and each transition is computed once.
+ */
+const transitionsBySnapshot = new WeakMap<RequestSnapshot, Map<RequestMachineEvent['type'], RequestSnapshot>>();
+
+function findTransitions(snapshot: RequestSnapshot): Map<RequestMachineEvent['type'], RequestSnapshot> {
+	let known = transitionsBySnapshot.get(snapshot);
+	if (known === undefined) {
+		known = new Map();
+		transitionsBySnapshot.set(snapshot, known);
+	}
+
+	return known;
 }
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -19,6 +19,10 @@
 
 /** Most bytes of a request's head, above any limit that a configuration sets. */
 const HEADER_LIMIT_BYTES = 65_536;
+/** Time of one turn of the loop above which work that came in is refused: most of the time in which a short prompt has its full value. */
+const OVERLOAD_LAG_MS = 150;
+/** Wait told with such a refusal: a freshly started process has caught up by then. */
+const OVERLOAD_RETRY_MS = 600;
 /** Time between looks for connections whose head is late. */
 const CHECK_INTERVAL_MS = 1000;
 /** Limits until a configuration is known. */
@@ -76,7 +80,19 @@
 				response.shouldKeepAlive = false;
 			}
 
-			onCall(handle, {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)}, performance.now() - arrivedAtMs);
+			const call = {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)};
+			waitForDepartures(lagMs => {
+				if (response.destroyed || incoming.socket.destroyed || incoming.socket.readableEnded) {
+					return;
+				}
+
+				if (lagMs > OVERLOAD_LAG_MS) {
+					writeRefusal({response, ports, failure: createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_MS})});
+					return;
+				}
+
+				onCall(handle, call, performance.now() - arrivedAtMs);
+			});
 		});
 	};
 
@@ -97,6 +113,21 @@
 	};
 }
 
+/**
+ * Waits until what came in before now has been read, so that a caller who has
+ * left meanwhile is known to have.
+ *
+ * @param proceed - told how long the loop took for the turn between
+ */
+function waitForDepartures(proceed: (lagMs: number) => void): void {
+	const beganAtMs = performance.now();
+	setImmediate(() => {
+		setImmediate(() => {
+			proceed(performance.now() - beganAtMs);
+		});
+	});
+}
+
 function computeFingerprint(method: string, {path, key}: CallerCall, body: Buffer): string {
 	return createHash('sha1').update(`${method}\n${path}\n${key ?? ''}\n`).update(body).digest('base64');
 }
--- a/packages/runtime/src/createLogger.ts
+++ b/packages/runtime/src/createLogger.ts
@@ -38,7 +38,8 @@
 	const least = LOG_LEVELS.indexOf(level);
 	const createWriter = (name: LogLevel) => (message: string, context: LogContext = {}) => {
 		if (LOG_LEVELS.indexOf(name) >= least) {
-			roarr[name](toPlainContext(context), message);
+			// Roarr leaves undefined fields out and calls `toJSON` when it writes the line.
+			roarr[name](context as Record<string, string>, message);
 		}
 	};
 
@@ -49,9 +50,3 @@
 		error: createWriter('error'),
 	};
 }
-
-function toPlainContext(context: LogContext) {
-	// Written as JSON in any case; this drops undefined fields and calls `toJSON`, which a clone would not.
-	// eslint-disable-next-line unicorn/prefer-structured-clone
-	return JSON.parse(JSON.stringify(context)) as Record<string, string>;
-}
