--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -6,7 +6,9 @@
  */
 import {STAGES, type EngineRecord, type PromptRecord} from '../serving/servingRecords.js';
 import {type PlacementSettings} from './placementSettings.js';
-import {listSharedParts, type PlacedTarget, type PlacementState, sumWork} from './placementState.js';
+import {
+	listSharedParts, type PlacedTarget, type PlacementState, sumWork,
+} from './placementState.js';
 
 /** Where a generation goes. */
 export type GenerationPlan = {
@@ -254,12 +256,12 @@
 }
 
 function computeSlotLoss({settings}: PlaceGenerationOptions, {target, running}: Candidate): number {
-	return settings.slotLoss * ((running + 1) / target.record.slots) ** 2;
+	return settings.slotLoss * (((running + 1) / target.record.slots) ** 2);
 }
 
 /** Loss of a millisecond of reading at a target that generates: all that run there wait, and keep their slots the longer. */
 function computeDelayLoss({delayLossPerMs}: PlacementSettings, {target, running}: Candidate): number {
-	return delayLossPerMs * running * (running / target.record.slots) ** 2;
+	return delayLossPerMs * running * ((running / target.record.slots) ** 2);
 }
 
 function computeBodyLoss({state, demand, settings}: PlaceGenerationOptions, target: PlacedTarget): number {
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -1,4 +1,6 @@
-import {ERROR_CODES, type ErrorCode, type Outcome, OUTCOMES} from '@damaskspool/shared';
+import {
+	ERROR_CODES, type ErrorCode, type Outcome, OUTCOMES,
+} from '@damaskspool/shared';
 import {placeCall} from '../placement/placeCall.js';
 import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
 import {
@@ -141,7 +143,6 @@
 		};
 }
 
-// eslint-disable-next-line max-params
 function planGeneration(state: ServingState, served: ServingCall, engine: EngineRecord, nowMs: number): AttemptPlan | Refusal | undefined {
 	const {placement, placementSettings} = state;
 	const goalLeftMs = served.arrivedAtMs + served.route.goalMs - nowMs;
@@ -190,7 +191,7 @@
 }
 
 /** The target chosen before the read, or where that is gone another one. */
-// eslint-disable-next-line max-params
+
 function planTakeOver(state: ServingState, served: ServingCall, handle: ReadHandle, nowMs: number): AttemptPlan | undefined {
 	const {generator} = served;
 	const isInUse = generator !== undefined && state.placement.targets.get(generator.record.targetId) === generator
@@ -206,7 +207,9 @@
 function findGenerator(state: ServingState, served: ServingCall, nowMs: number): PlacedTarget | undefined {
 	const readers = [...state.placement.targets.values()].filter(({record}) => record.stage === STAGES.prefill);
 	const excluded = new Set([...served.excluded, ...readers.map(({record}) => record.targetId)]);
-	return placeCall({state: state.placement, serviceId: served.serviceId, excluded, nowMs})?.target;
+	return placeCall({
+		state: state.placement, serviceId: served.serviceId, excluded, nowMs,
+	})?.target;
 }
 
 function rememberPrefix(state: ServingState, served: ServingCall, plan: AttemptPlan): void {
@@ -293,7 +296,9 @@
 	return [
 		refuseCall(served, isNotRun ? code : ERROR_CODES.targetFailed, isNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown, isNotRun ? retryAfterMs : undefined),
 		{
-			type: 'decision.record', name: 'call.refused', subject: served.call.requestId, detail: {code, isNotRun, retryAfterMs, route: served.route.name, attempts: served.attempts},
+			type: 'decision.record', name: 'call.refused', subject: served.call.requestId, detail: {
+				code, isNotRun, retryAfterMs, route: served.route.name, attempts: served.attempts,
+			},
 		},
 	];
 }
@@ -307,7 +312,7 @@
  * @param retryAfterMs - when to come back, where it has not run
  * @returns the effect
  */
-// eslint-disable-next-line max-params
+
 export function refuseCall(served: ServingCall, code: ErrorCode, outcome: Outcome, retryAfterMs?: number): ServingEffect {
 	return {
 		type: 'call.refuse', callId: served.callId, code, outcome, retryAfterMs,
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -1,7 +1,9 @@
 import {ERROR_CODES, type ErrorCode, OUTCOMES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
-import {beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation} from './callAttempts.js';
+import {
+	beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation,
+} from './callAttempts.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
--- a/packages/core/src/serving/resolveServingRoute.ts
+++ b/packages/core/src/serving/resolveServingRoute.ts
@@ -1,6 +1,9 @@
 import {hashIdentifier} from '../routing/rendezvous.js';
 import {type RouteRecord, type RouteShare, type ServingConfiguration} from './servingRecords.js';
 
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32;
+
 /** Routes of a configuration by host, longest prefix first. */
 const routesByHost = new WeakMap<ServingConfiguration, Map<string, RouteRecord[]>>();
 
@@ -48,7 +51,7 @@
  */
 export function pickService(shares: readonly RouteShare[], requestId: string): string | undefined {
 	const total = shares.reduce((sum, {weight}) => sum + weight, 0);
-	let rest = (hashIdentifier(requestId) / 2 ** 32) * total;
+	let rest = (hashIdentifier(requestId) / HASH_RANGE) * total;
 	for (const {serviceId, weight} of shares) {
 		rest -= weight;
 		if (rest < 0) {
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,7 +1,9 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
 import {type BaseEvent} from '../reducer/createReducer.js';
 import {type LeaseEffect, type LeaseEvent} from '../lease/leaseMessages.js';
-import {type PromptRecord, type ServingConfiguration, type Stage, type TargetRecord} from './servingRecords.js';
+import {
+	type PromptRecord, type ServingConfiguration, type Stage, type TargetRecord,
+} from './servingRecords.js';
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
 
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -1,4 +1,4 @@
-import {SECOND_MS} from '@damaskspool/shared';
+
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
 import {createTargetCatalog, type TargetCatalog} from '../membership/targetCatalog.js';
 import {createPlacementState, type PlacedTarget, type PlacementState} from '../placement/placementState.js';
@@ -93,7 +93,6 @@
 };
 
 /** Wait after the start before the first order, so that the targets' states are known. */
-export const FIRST_ORDER_WAIT_MS = SECOND_MS;
 
 /** Duty over usage reports and stage orders; one holder for all, so that one fencing number orders its calls. */
 export const CONTROL_DUTY = 'control';
@@ -133,3 +132,5 @@
 		fleet: {prefillTargets: options.prefillTargets, orderUnderWay: undefined, nextOrderAtMs: 0},
 	};
 }
+
+export {SECOND_MS as FIRST_ORDER_WAIT_MS} from '@damaskspool/shared';
--- a/packages/core/src/serving/stageHandlers.ts
+++ b/packages/core/src/serving/stageHandlers.ts
@@ -38,7 +38,9 @@
 		const {target, stage} = choice;
 		fleet.orderUnderWay = target.record.targetId;
 		return [
-			{type: 'order.send', target: target.record, stage, fence: held.epoch},
+			{
+				type: 'order.send', target: target.record, stage, fence: held.epoch,
+			},
 			{
 				type: 'decision.record', name: 'order.sent', subject: target.record.targetId, detail: {stage, fence: held.epoch, wanted: fleet.prefillTargets},
 			},
--- a/packages/core/src/usage/servedUsageHandlers.ts
+++ b/packages/core/src/usage/servedUsageHandlers.ts
@@ -84,7 +84,9 @@
 		const windowId = Number(id);
 		if (!usage.reported.has(windowId) && !usage.reporting.has(windowId)) {
 			usage.reporting.add(windowId);
-			effects.push({type: 'usage.report', windowId, counts, fence});
+			effects.push({
+				type: 'usage.report', windowId, counts, fence,
+			});
 		}
 	}
 
--- a/packages/daemon/src/direct/callHandle.ts
+++ b/packages/daemon/src/direct/callHandle.ts
@@ -11,7 +11,7 @@
 	/** Last event that was passed on whole. */
 	lastEventId: string | undefined;
 	/** Ends the attempt under way. */
-	cancelAttempt: ((attemptId: number) => void) | undefined;
+	cancelAttempt: (() => void) | undefined;
 	/** Answer of a target that failed, until it is decided whether to pass it on. */
 	heldAnswer: HeldAnswer | undefined;
 };
--- /dev/null
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -0,0 +1,112 @@
+import {type ServingEffect, type ServingEvent} from '@damaskspool/core';
+import {
+	type DeploymentPorts, type EffectHandlers, type Metrics, type UntimedEvent,
+} from '@damaskspool/runtime';
+import {createFailure} from '@damaskspool/shared';
+import {type CallHandle} from './callHandle.js';
+import {type TargetPools} from './createTargetPools.js';
+import {runAttempt} from './runAttempt.js';
+import {writeHeldAnswer} from './writeHeldAnswer.js';
+import {writeRefusal} from './writeRefusal.js';
+
+/** Options of {@link createCallEffects}. */
+export type CallEffectsOptions = {
+	readonly ports: DeploymentPorts;
+	readonly metrics: Metrics;
+	readonly pools: TargetPools;
+	/** Connections that this entry may hold to a target of a service. */
+	readonly countConnections: (serviceId: string) => number;
+	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
+};
+
+/** Calls under way with their sockets, and the effects that concern them. */
+export type CallEffects = {
+	readonly handlers: Pick<EffectHandlers<ServingEffect>, 'attempt.cancel' | 'attempt.passOn' | 'attempt.send' | 'call.limit' | 'call.refuse' | 'handle.free'>;
+	readonly add: (handle: CallHandle) => void;
+	readonly end: (callId: number) => void;
+};
+
+/**
+ * Creates the handlers that carry out what is decided about calls.
+ *
+ * @param options - adapter, metrics, connections, and who takes the events
+ * @returns the handlers, and how calls are added and ended
+ */
+export function createCallEffects({ports, metrics, pools, countConnections, dispatch}: CallEffectsOptions): CallEffects {
+	const handles = new Map<number, CallHandle>();
+	const timers = new Map<number, NodeJS.Timeout>();
+
+	const end = (callId: number) => {
+		clearTimeout(timers.get(callId));
+		timers.delete(callId);
+		handles.delete(callId);
+	};
+
+	return {
+		add(handle) {
+			handles.set(handle.callId, handle);
+		},
+		end,
+		handlers: {
+			'attempt.send'(send) {
+				const {callId, attemptId, target} = send;
+				const handle = handles.get(callId);
+				if (handle === undefined) {
+					return;
+				}
+
+				handle.cancelAttempt = runAttempt({
+					send,
+					handle,
+					pool: pools.resolve(target, countConnections(target.serviceId)),
+					ports,
+					isResetUnderWay: pools.isResetUnderWay,
+					onBegan() {
+						dispatch({
+							type: 'attempt.began', callId, attemptId, wallMs: Date.now(),
+						});
+					},
+					onReadEnded(handleId, result) {
+						dispatch({
+							type: 'attempt.readEnded', callId, attemptId, handleId, result,
+						});
+					},
+					onEnded(ended) {
+						dispatch({
+							type: 'attempt.ended', callId, attemptId, wallMs: Date.now(), ...ended,
+						});
+					},
+				});
+			},
+			'attempt.cancel'({callId}) {
+				handles.get(callId)?.cancelAttempt?.();
+			},
+			'attempt.passOn'({callId}) {
+				const handle = handles.get(callId);
+				if (handle !== undefined) {
+					writeHeldAnswer(handle, ports);
+				}
+
+				end(callId);
+			},
+			'call.limit'({callId, afterMs}) {
+				timers.set(callId, setTimeout(() => {
+					dispatch({type: 'call.expired', callId});
+				}, afterMs));
+			},
+			'call.refuse'({callId, code, outcome, retryAfterMs}) {
+				const handle = handles.get(callId);
+				metrics.count(`refusals{code="${code}"}`);
+				if (handle !== undefined) {
+					const failure = createFailure(code, {outcome, ...(retryAfterMs !== undefined && {retryAfterMs})});
+					writeRefusal({response: handle.response, ports, failure});
+				}
+
+				end(callId);
+			},
+			'handle.free'({address, handleId}) {
+				void ports.freeHandle(address, handleId);
+			},
+		},
+	};
+}
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {type CallerLimits, type CallRecord} from '@damaskspool/core';
 import {type DeploymentPorts} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -6,10 +6,9 @@
 import {
 	createLoop, type DeploymentPorts, type DirectEntrySettings, type Logger, type Metrics,
 } from '@damaskspool/runtime';
-import {createFailure} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
 import {stopServer} from '../stopServer.js';
-import {type CallHandle} from './callHandle.js';
+import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer} from './createCallerServer.js';
 import {createDutyEffects} from './createDutyEffects.js';
 import {createPeerDirectory} from './createPeerDirectory.js';
@@ -17,9 +16,6 @@
 import {createStoreFollower} from './createStoreFollower.js';
 import {createTargetPools} from './createTargetPools.js';
 import {type DirectSettings, directSettingsSchema} from './directSettings.js';
-import {runAttempt} from './runAttempt.js';
-import {writeHeldAnswer} from './writeHeldAnswer.js';
-import {writeRefusal} from './writeRefusal.js';
 
 /** Options of {@link createDirectEntry}. */
 export type DirectEntryOptions = {
@@ -64,8 +60,6 @@
 	const {settings, ports, logger, metrics, choices = directSettingsSchema.parse({})} = options;
 	const {instanceId, availabilityZone, region} = settings;
 	const processId = randomUUID().slice(0, PROCESS_ID_LENGTH);
-	const handles = new Map<number, CallHandle>();
-	const limitTimers = new Map<number, NodeJS.Timeout>();
 	const pools = createTargetPools();
 	let isStopped = false;
 	let sequence = 0;
@@ -108,18 +102,22 @@
 		},
 	});
 
-	const findConnections = (serviceId: string) => {
+	const countConnections = (serviceId: string) => {
 		const limit = state.configuration?.services.get(serviceId)?.connectionLimit;
 		return limit === undefined
 			? DEFAULT_CONNECTIONS
 			: Math.max(LEAST_CONNECTIONS, Math.floor(limit * SHARED_CONNECTIONS / Math.max(2, 1 + state.membership.peers.size)));
 	};
 
-	const endHandle = (callId: number) => {
-		clearTimeout(limitTimers.get(callId));
-		limitTimers.delete(callId);
-		handles.delete(callId);
-	};
+	const calls = createCallEffects({
+		ports,
+		metrics,
+		pools,
+		countConnections,
+		dispatch(event) {
+			loop.dispatch(event);
+		},
+	});
 
 	const loop = createLoop<ServingState, ServingEvent, ServingEffect>({
 		state,
@@ -130,64 +128,7 @@
 					loop.dispatch(event);
 				},
 			}),
-			'attempt.send'(send) {
-				const handle = handles.get(send.callId);
-				if (handle === undefined) {
-					return;
-				}
-
-				const {callId, attemptId} = send;
-				const cancel = runAttempt({
-					send,
-					handle,
-					pool: pools.find(send.target, findConnections(send.target.serviceId)),
-					ports,
-					onBegan() {
-						loop.dispatch({
-							type: 'attempt.began', callId, attemptId, wallMs: Date.now(),
-						});
-					},
-					onReadEnded(handleId, result) {
-						loop.dispatch({
-							type: 'attempt.readEnded', callId, attemptId, handleId, result,
-						});
-					},
-					onEnded(end) {
-						loop.dispatch({
-							type: 'attempt.ended', callId, attemptId, wallMs: Date.now(), ...end,
-						});
-					},
-				});
-				handle.cancelAttempt = cancel;
-			},
-			'attempt.cancel'({callId, attemptId}) {
-				handles.get(callId)?.cancelAttempt?.(attemptId);
-			},
-			'attempt.passOn'({callId}) {
-				const handle = handles.get(callId);
-				if (handle !== undefined) {
-					writeHeldAnswer(handle, ports);
-				}
-
-				endHandle(callId);
-			},
-			'call.limit'({callId, afterMs}) {
-				limitTimers.set(callId, setTimeout(() => {
-					loop.dispatch({type: 'call.expired', callId});
-				}, afterMs));
-			},
-			'call.refuse'({callId, code, outcome, retryAfterMs}) {
-				const handle = handles.get(callId);
-				metrics.count(`refusals{code="${code}"}`);
-				if (handle !== undefined) {
-					writeRefusal({response: handle.response, ports, failure: createFailure(code, {outcome, ...(retryAfterMs !== undefined && {retryAfterMs})})});
-				}
-
-				endHandle(callId);
-			},
-			async 'handle.free'({address, handleId}) {
-				await ports.freeHandle(address, handleId);
-			},
+			...calls.handlers,
 			'work.tell'() {
 				link.tell();
 			},
@@ -195,7 +136,7 @@
 				logger.info(name, {subject, ...detail});
 				metrics.count(`decisions{name="${name}"}`);
 				if (name === 'call.ended') {
-					metrics.recordMs(`calls{outcome="${String(detail['outcome'])}"}`, Number(detail['tookMs']));
+					metrics.recordMs(`calls{outcome="${String(detail.outcome)}"}`, Number(detail.tookMs));
 				} else if (name === 'targets.applied') {
 					pools.retain(new Set(state.placement.targets.keys()));
 				} else if (name === 'configuration.applied' && state.configuration !== undefined) {
@@ -211,17 +152,17 @@
 		isStopping: () => state.isStopping,
 		onCall(handle, call, waitedMs) {
 			const {callId} = handle;
-			handles.set(callId, handle);
+			calls.add(handle);
 			loop.dispatch({
 				type: 'call.arrived', callId, call, wallMs: Date.now(), waitedMs,
 			});
 			handle.response.on('finish', () => {
-				endHandle(callId);
+				calls.end(callId);
 			});
 		},
 		onLeft(callId) {
 			loop.dispatch({type: 'call.left', callId});
-			endHandle(callId);
+			calls.end(callId);
 		},
 	});
 
--- a/packages/daemon/src/direct/createDutyEffects.ts
+++ b/packages/daemon/src/direct/createDutyEffects.ts
@@ -1,6 +1,6 @@
 import {type SealedUsage, type ServingEffect, type ServingEvent} from '@damaskspool/core';
 import {type DeploymentPorts, type EffectHandlers, type UntimedEvent} from '@damaskspool/runtime';
-import {ERROR_CODES, type LeaseRecord, leaseRecordSchema} from '@damaskspool/shared';
+import {ERROR_CODES, leaseRecordSchema} from '@damaskspool/shared';
 
 /** Options of {@link createDutyEffects}. */
 export type DutyEffectsOptions = {
@@ -9,6 +9,8 @@
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
 };
 
+type EffectOf<Type extends ServingEffect['type']> = Extract<ServingEffect, {type: Type}>;
+
 /** Effects of leases, orders and usage reports. */
 export type DutyEffects = Pick<EffectHandlers<ServingEffect>, 'lease.read' | 'lease.write' | 'order.send' | 'usage.read' | 'usage.report' | 'usage.seal'>;
 
@@ -20,50 +22,75 @@
  */
 export function createDutyEffects({ports, instanceId, dispatch}: DutyEffectsOptions): DutyEffects {
 	const {store, objects} = ports;
+
+	const readLease = async ({dutyName, callId}: EffectOf<'lease.read'>) => {
+		const reply = await store.read(objects.leases, dutyName);
+		const record = reply.ok ? leaseRecordSchema.safeParse(reply.val?.value).data : undefined;
+		dispatch({
+			type: 'lease.readEnded',
+			dutyName,
+			callId,
+			result: reply.ok ? {kind: 'read', version: reply.val?.version ?? 0, record} : {kind: 'failed'},
+		});
+	};
+
+	const writeLease = async ({dutyName, callId, record, expectedVersion}: EffectOf<'lease.write'>) => {
+		const reply = await store.write(objects.leases, dutyName, record, expectedVersion);
+		const kind = reply.err && reply.val.code === ERROR_CODES.versionConflict ? 'conflict' : 'unknown';
+		dispatch({
+			type: 'lease.writeEnded', dutyName, callId, result: reply.ok ? {kind: 'written', version: reply.val} : {kind},
+		});
+	};
+
+	const sendOrder = async ({target, stage, fence}: EffectOf<'order.send'>) => {
+		const status = await ports.orderStage({
+			target, stage, holder: instanceId, fence,
+		});
+		dispatch({
+			type: 'order.ended', targetId: target.targetId, stage, status,
+		});
+	};
+
+	const readSealed = async () => {
+		const reply = await store.read(objects.usage.kind, objects.usage.name);
+		dispatch({
+			type: 'usage.sealEnded',
+			result: reply.ok
+				? {kind: 'read', version: reply.val?.version ?? 0, sealed: (reply.val?.value ?? {}) as SealedUsage}
+				: {kind: 'failed'},
+		});
+	};
+
+	const writeSealed = async ({sealed, expectedVersion}: EffectOf<'usage.seal'>) => {
+		const reply = await store.write(objects.usage.kind, objects.usage.name, sealed, expectedVersion);
+		dispatch({type: 'usage.sealEnded', result: reply.ok ? {kind: 'written', version: reply.val, sealed} : {kind: 'failed'}});
+	};
+
+	const sendReport = async ({windowId, counts, fence}: EffectOf<'usage.report'>) => {
+		const status = await ports.reportUsage({
+			windowId, counts, holder: instanceId, fence,
+		});
+		dispatch({type: 'usage.reportEnded', windowId, status});
+	};
+
 	return {
-		async 'lease.read'({dutyName, callId}) {
-			const reply = await store.read(objects.leases, dutyName);
-			const record = reply.ok ? leaseRecordSchema.safeParse(reply.val?.value).data : undefined;
-			dispatch({
-				type: 'lease.readEnded',
-				dutyName,
-				callId,
-				result: reply.ok ? {kind: 'read', version: reply.val?.version ?? 0, record} : {kind: 'failed'},
-			});
+		'lease.read'(effect) {
+			void readLease(effect);
 		},
-		async 'lease.write'({dutyName, callId, record, expectedVersion}) {
-			const reply = await store.write(objects.leases, dutyName, record satisfies LeaseRecord, expectedVersion);
-			const kind = reply.err && reply.val.code === ERROR_CODES.versionConflict ? 'conflict' : 'unknown';
-			dispatch({
-				type: 'lease.writeEnded', dutyName, callId, result: reply.ok ? {kind: 'written', version: reply.val} : {kind},
-			});
+		'lease.write'(effect) {
+			void writeLease(effect);
 		},
-		async 'order.send'({target, stage, fence}) {
-			const status = await ports.orderStage({
-				target, stage, holder: instanceId, fence,
-			});
-			dispatch({
-				type: 'order.ended', targetId: target.targetId, stage, status,
-			});
+		'order.send'(effect) {
+			void sendOrder(effect);
 		},
-		async 'usage.read'() {
-			const reply = await store.read(objects.usage.kind, objects.usage.name);
-			dispatch({
-				type: 'usage.sealEnded',
-				result: reply.ok
-					? {kind: 'read', version: reply.val?.version ?? 0, sealed: (reply.val?.value ?? {}) as SealedUsage}
-					: {kind: 'failed'},
-			});
+		'usage.read'() {
+			void readSealed();
 		},
-		async 'usage.seal'({sealed, expectedVersion}) {
-			const reply = await store.write(objects.usage.kind, objects.usage.name, sealed, expectedVersion);
-			dispatch({type: 'usage.sealEnded', result: reply.ok ? {kind: 'written', version: reply.val, sealed} : {kind: 'failed'}});
+		'usage.seal'(effect) {
+			void writeSealed(effect);
 		},
-		async 'usage.report'({windowId, counts, fence}) {
-			const status = await ports.reportUsage({
-				windowId, counts, holder: instanceId, fence,
-			});
-			dispatch({type: 'usage.reportEnded', windowId, status});
+		'usage.report'(effect) {
+			void sendReport(effect);
 		},
 	};
 }
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -35,7 +35,7 @@
 			const whole = joined.subarray(0, end + EVENT_END.length);
 			rest = joined.subarray(end + EVENT_END.length);
 			for (const match of whole.toString('latin1').matchAll(ID_FIELD)) {
-				lastId = match.groups?.['id'];
+				lastId = match.groups?.id;
 			}
 
 			return whole;
--- a/packages/daemon/src/direct/createPeerDirectory.ts
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -63,7 +63,9 @@
 		}
 
 		if (!isStopped) {
-			timer = setTimeout(run, isFine ? LIST_INTERVAL_MS : RETRY_MS);
+			timer = setTimeout(() => {
+				void run();
+			}, isFine ? LIST_INTERVAL_MS : RETRY_MS);
 		}
 	};
 
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -1,9 +1,12 @@
 import {type Dispatcher, Pool} from 'undici';
 import {type TargetRecord} from '@damaskspool/core';
+import {createResetWatch} from './createResetWatch.js';
 
 /** Connections to targets, kept by incarnation. */
 export type TargetPools = {
-	readonly find: (target: TargetRecord, connections: number) => Dispatcher;
+	/** Whether what is told now follows from the reset of a connection. */
+	readonly isResetUnderWay: () => boolean;
+	readonly resolve: (target: TargetRecord, connections: number) => Dispatcher;
 	/** Closes the connections to targets that are no longer in use, once idle. */
 	readonly retain: (targetIds: ReadonlySet<string>) => void;
 	readonly close: () => Promise<void>;
@@ -22,14 +25,16 @@
  * @returns the pools
  */
 export function createTargetPools(): TargetPools {
+	const resets = createResetWatch({timeoutMs: CONNECT_TIMEOUT_MS});
 	const pools = new Map<string, {address: string; pool: Pool; connections: number}>();
 	const release = (pool: Pool) => {
 		// Requests under way end first; a failure to close means that the sockets are gone already.
-		pool.close().catch(() => pool.destroy());
+		pool.close().catch(async () => pool.destroy());
 	};
 
 	return {
-		find(target, connections) {
+		isResetUnderWay: resets.isResetUnderWay,
+		resolve(target, connections) {
 			const known = pools.get(target.targetId);
 			if (known?.address === target.address && known.connections === connections) {
 				return known.pool;
@@ -42,7 +47,7 @@
 			const pool = new Pool(`http://${target.address}`, {
 				connections,
 				pipelining: 1,
-				connect: {timeout: CONNECT_TIMEOUT_MS},
+				connect: resets.connect,
 				keepAliveTimeout: IDLE_TIMEOUT_MS,
 				keepAliveMaxTimeout: IDLE_LIMIT_MS,
 			});
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -19,6 +19,8 @@
 	readonly handle: CallHandle;
 	readonly pool: Dispatcher;
 	readonly ports: DeploymentPorts;
+	/** Whether what is told now follows from the reset of a connection. */
+	readonly isResetUnderWay: () => boolean;
 	readonly onBegan: () => void;
 	readonly onReadEnded: (handleId: string | undefined, result: AttemptResult) => void;
 	readonly onEnded: (end: AttemptEnd) => void;
@@ -48,12 +50,13 @@
  * @returns a function that ends the attempt; nothing is told after it was called
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {send, handle, pool, ports, onBegan, onReadEnded, onEnded} = options;
+	const {send, handle, pool, ports, isResetUnderWay, onBegan, onReadEnded, onEnded} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isOver = false;
 	let isSent = false;
 	let hasBegun = false;
+	let isFramed = true;
 	let taker: BodyTaker | undefined;
 
 	const finish = (result: AttemptResult, detail: string, hasRun = hasBegun) => {
@@ -221,7 +224,7 @@
 	response.on('drain', resume);
 	pool.dispatch({
 		path: handle.request.call.path,
-		method: handle.request.method as Dispatcher.HttpMethod,
+		method: handle.request.method,
 		headers: ports.formatAttemptHeaders(send, handle.request, handle.lastEventId),
 		body: handle.body.length === 0 ? null : handle.body,
 		headersTimeout: 0,
@@ -239,7 +242,8 @@
 				return;
 			}
 
-			taker = pickTaker(status, headers as Headers);
+			isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+			taker = pickTaker(status, headers);
 			if (taker === undefined) {
 				fail('the answer is not signed or belongs to another request');
 			}
@@ -250,9 +254,16 @@
 			}
 		},
 		onResponseEnd() {
-			if (!isOver) {
-				taker?.end();
+			if (isOver) {
+				return;
+			}
+
+			if (!isFramed && isResetUnderWay()) {
+				finish(ATTEMPT_RESULTS.unknown, 'the connection was reset before the end of the answer');
+				return;
 			}
+
+			taker?.end();
 		},
 		onResponseError(_started, error) {
 			finish(isSent ? ATTEMPT_RESULTS.unknown : ATTEMPT_RESULTS.unreached, (error as NodeJS.ErrnoException).code ?? error.message);
--- a/packages/daemon/src/direct/watchObjects.ts
+++ b/packages/daemon/src/direct/watchObjects.ts
@@ -45,8 +45,12 @@
 
 		failures += 1;
 		onFailure(reply.val);
-		await new Promise(resolve => {
-			setTimeout(resolve, Math.min(RETRY_LIMIT_MS, RETRY_BASE_MS * (2 ** Math.min(failures - 1, 4))));
-		});
+		await waitBeforeRetry(failures);
 	}
 }
+
+async function waitBeforeRetry(failures: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, Math.min(RETRY_LIMIT_MS, RETRY_BASE_MS * (2 ** (failures - 1))));
+	});
+}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -5,6 +5,12 @@
 import process from 'node:process';
 import {build} from 'esbuild';
 
+// The bundler compiles filters itself and takes no flags.
+// eslint-disable-next-line require-unicode-regexp
+const TS_RESULTS = /^ts-results$/;
+// eslint-disable-next-line require-unicode-regexp
+const ANY = /.*/;
+
 /**
  * The CommonJS form of ts-results asks for its parts in a way that cannot be
  * bundled; its ES form has no default export, which the code base imports.
@@ -12,8 +18,8 @@
 const resultsPlugin = {
 	name: 'results',
 	setup({onResolve, onLoad}) {
-		onResolve({filter: /^ts-results$/}, () => ({path: 'ts-results', namespace: 'results'}));
-		onLoad({filter: /.*/, namespace: 'results'}, () => ({
+		onResolve({filter: TS_RESULTS}, () => ({path: 'ts-results', namespace: 'results'}));
+		onLoad({filter: ANY, namespace: 'results'}, () => ({
 			contents: 'import * as results from \'ts-results/esm/index.js\'; export default results;',
 			resolveDir: process.cwd(),
 		}));
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -14,10 +14,10 @@
 const FILE_LIMIT_MS = 240_000;
 
 const wanted = process.argv.slice(2);
-const files = readdirSync('packages', {recursive: true})
-	.filter(file => /^[\w\-]+[\/\\]dist[\/\\].*__tests__.*\.test\.js$/v.test(file))
+const files = ['packages', 'platform'].flatMap(folder => readdirSync(folder, {recursive: true}).map(file => path.join(folder, file)))
+	.filter(file => /^(?:packages[\/\\])?[\w\-]+[\/\\]dist[\/\\].*__tests__.*\.test\.js$/v.test(file))
 	.filter(file => wanted.length === 0 || wanted.some(text => file.includes(text)))
-	.map(file => path.resolve('packages', file))
+	.map(file => path.resolve(file))
 	.toSorted();
 const knownRed = readKnownRed();
 
