Know a reset that comes together with the last bytes by its missing peer

Ruled out by two logged trials: a late error event, a wrong listener order. After a reset the socket has no peer any more, after an end it has. Change: an end without a peer counts as a reset.

--- a/packages/daemon/src/direct/createResetWatch.ts
+++ b/packages/daemon/src/direct/createResetWatch.ts
@@ -19,14 +19,23 @@
 export function createResetWatch({timeoutMs}: {timeoutMs: number}): ResetWatch {
 	const connectPlainly = buildConnector({timeout: timeoutMs});
 	let isUnderWay = false;
+	const recordReset = () => {
+		isUnderWay = true;
+		setImmediate(() => {
+			isUnderWay = false;
+		});
+	};
+
 	return {
 		connect(options, callback) {
 			connectPlainly(options, (...outcome) => {
-				outcome[1]?.on('error', () => {
-					isUnderWay = true;
-					setImmediate(() => {
-						isUnderWay = false;
-					});
+				const socket = outcome[1];
+				socket?.on('error', recordReset);
+				socket?.on('end', () => {
+					// A reset that comes together with the last bytes is told as an end, but leaves no peer behind.
+					if (socket.remoteAddress === undefined) {
+						recordReset();
+					}
 				});
 				callback(...outcome);
 			});
