--- a/packages/core/src/placement/placementSettings.ts
+++ b/packages/core/src/placement/placementSettings.ts
@@ -40,6 +40,10 @@
 	readonly slotLoss: number;
 	/** A request is refused when its answer would begin later than this multiple of its goal. */
 	readonly refuseAtGoals: number;
+	/** Earliest return that a refused caller is told, as a share of the time left; beyond the swings of the mix. */
+	readonly returnShare: number;
+	/** Width of the interval over which refused callers return, as a share of the time left, so that they do not come at once. */
+	readonly returnSpreadShare: number;
 	/** Prompts with more tokens to read than this may be read apart from their generation. */
 	readonly longReadTokens: number;
 };
@@ -66,5 +70,7 @@
 	copyLossPerGb: 0.08,
 	slotLoss: 0.05,
 	refuseAtGoals: 1.3,
+	returnShare: 0.22,
+	returnSpreadShare: 0.1,
 	longReadTokens: 1500,
 };
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -6,6 +6,7 @@
 import {
 	listSharedParts, PEER_SILENCE_MS, type PlacedTarget, recordAnswer, recordFault,
 } from '../placement/placementState.js';
+import {hashIdentifier} from '../routing/rendezvous.js';
 import {advanceRequest} from '../request/requestRecord.js';
 import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect} from './servingMessages.js';
 import {STAGES, type EngineRecord} from './servingRecords.js';
@@ -25,6 +26,8 @@
 
 /** Least time left with which an attempt is worth sending. */
 const LEAST_LEFT_MS = 20;
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32;
 /** Wait told with a refusal that no estimate stands behind. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 /** Work of an attempt that reads no prompt. */
@@ -145,7 +148,7 @@
 
 function planGeneration(state: ServingState, served: ServingCall, engine: EngineRecord, nowMs: number): AttemptPlan | Refusal | undefined {
 	const {placement, placementSettings} = state;
-	const goalLeftMs = served.arrivedAtMs + served.route.goalMs - nowMs;
+	const goalLeftMs = served.arrivedAtMs + served.route.goalMs - served.spentMs - nowMs;
 	const plan = placeGeneration({
 		state: placement,
 		demand: {
@@ -160,12 +163,12 @@
 		nowMs,
 	});
 	if (plan === undefined) {
-		return undefined;
+		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnWait(state, served, nowMs)};
 	}
 
 	const refuseAboveMs = served.route.goalMs * placementSettings.refuseAtGoals;
 	if (plan.startMs - plan.readMs > refuseAboveMs) {
-		return {refusal: ERROR_CODES.queueFull, retryAfterMs: Math.round(plan.startMs - plan.readMs)};
+		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeReturnWait(state, served, nowMs)};
 	}
 
 	served.generator = plan.reader === undefined ? undefined : plan.target;
@@ -184,6 +187,13 @@
 	};
 }
 
+/** Wait until a refused caller is best served: past the present swing, and spread by request. */
+function computeReturnWait({placementSettings}: ServingState, {call, deadlineAtMs}: ServingCall, nowMs: number): number {
+	const {returnShare, returnSpreadShare} = placementSettings;
+	const spread = hashIdentifier(call.requestId) / HASH_RANGE;
+	return Math.round((deadlineAtMs - nowMs) * (returnShare + (returnSpreadShare * spread)));
+}
+
 function describePlan({startMs, readMs, copyMs, backlogMs, cachedTokens, loss, source, reader, target}: GenerationPlan) {
 	return {
 		startMs: Math.round(startMs), backlogMs: Math.round(backlogMs), readMs: Math.round(readMs), copyMs: Math.round(copyMs), cachedTokens, loss: Number(loss.toFixed(3)), source: source?.record.targetId, generator: reader === undefined ? undefined : target.record.targetId,
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -5,7 +5,7 @@
 	beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation,
 } from './callAttempts.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
-import {type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {ATTEMPT_RESULTS, type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
@@ -31,6 +31,7 @@
 			serviceId,
 			customerId,
 			arrivedAtMs: nowMs - waitedMs,
+			spentMs: recordDeadline(state, route, call),
 			deadlineAtMs: nowMs - waitedMs + call.deadlineMs,
 			timeoutAtMs: nowMs - waitedMs + Math.min(call.deadlineMs, route.timeoutMs),
 			snapshot: createRequestSnapshot(isRepeatable),
@@ -108,7 +109,7 @@
 		}
 
 		const {nowMs, wallMs, result} = event;
-		if (event.hasRun && !served.isCounted) {
+		if (event.hasRun || result === ATTEMPT_RESULTS.unknown) {
 			countServed(state, served, wallMs);
 		}
 
@@ -177,10 +178,11 @@
 }
 
 function countServed(state: ServingState, served: ServingCall, wallMs: number): void {
-	served.isCounted = true;
-	if (served.customerId !== undefined) {
+	if (!served.isCounted && served.customerId !== undefined) {
 		state.usage.record(served.customerId, wallMs);
 	}
+
+	served.isCounted = true;
 }
 
 function endCall(state: ServingState, served: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
@@ -203,6 +205,13 @@
 	return [...effects, {type: 'work.tell'}];
 }
 
+/** Keeps the longest deadline seen on a route, and tells how much shorter this one is. */
+function recordDeadline({deadlinesByRoute}: ServingState, {name}: RouteRecord, {deadlineMs}: CallRecord): number {
+	const longestMs = Math.max(deadlinesByRoute.get(name) ?? 0, deadlineMs);
+	deadlinesByRoute.set(name, longestMs);
+	return longestMs - deadlineMs;
+}
+
 type ResolvedCall = {readonly route: RouteRecord; readonly serviceId: string; readonly customerId: string | undefined};
 
 function resolveCall(state: ServingState, call: CallRecord): ResolvedCall | ErrorCode {
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -28,6 +28,8 @@
 	readonly serviceId: string;
 	readonly customerId: string | undefined;
 	readonly arrivedAtMs: number;
+	/** Time that the caller had spent before on the same request, as far as its deadline tells. */
+	readonly spentMs: number;
 	readonly deadlineAtMs: number;
 	readonly timeoutAtMs: number;
 	snapshot: RequestSnapshot;
@@ -61,6 +63,8 @@
 	readonly placementSettings: PlacementSettings;
 	readonly calls: Map<number, ServingCall>;
 	attemptCount: number;
+	/** Longest deadline of a caller by route: one that is clearly shorter was spent in part before. */
+	readonly deadlinesByRoute: Map<string, number>;
 	readonly budget: RepeatBudget;
 	readonly usage: ServedUsage;
 	readonly lease: LeaseState;
@@ -117,6 +121,7 @@
 		placementSettings: options.placementSettings ?? DEFAULT_PLACEMENT_SETTINGS,
 		calls: new Map(),
 		attemptCount: 0,
+		deadlinesByRoute: new Map(),
 		budget: createRepeatBudget({
 			share: options.repeatShare, allowance: options.repeatAllowance, windowMs: options.budgetWindowMs,
 		}),
