--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -32,6 +32,8 @@
 	/** No work is sent before this time, after failures. */
 	avoidUntilMs: number;
 	failuresInRow: number;
+	/** When an answer of the target last began or ended. */
+	lastHeardAtMs: number;
 	/** Set while a stage change is expected to keep the target out of use. */
 	changesStageUntilMs: number;
 };
@@ -84,7 +86,7 @@
 		const known = state.targets.get(record.targetId);
 		if (known === undefined) {
 			state.targets.set(record.targetId, {
-				record, own: createTargetWork(), avoidUntilMs: 0, failuresInRow: 0, changesStageUntilMs: 0,
+				record, own: createTargetWork(), avoidUntilMs: 0, failuresInRow: 0, lastHeardAtMs: 0, changesStageUntilMs: 0,
 			});
 			continue;
 		}
@@ -155,8 +157,10 @@
  * Records that a target answered.
  *
  * @param target - the target, changed
+ * @param nowMs - present time
  */
-export function recordAnswer(target: PlacedTarget): void {
+export function recordAnswer(target: PlacedTarget, nowMs: number): void {
+	target.lastHeardAtMs = nowMs;
 	target.failuresInRow = 0;
 	target.avoidUntilMs = 0;
 }
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -21,11 +21,17 @@
 	readonly counted: CallAttempt['counted'];
 	readonly handle: ReadHandle | undefined;
 	readonly source: PlacedTarget | undefined;
+	/** Time expected until the first bytes. */
+	readonly startMs: number;
 	readonly detail: Readonly<Record<string, unknown>>;
 };
 
 /** Least time left with which an attempt is worth sending. */
 const LEAST_LEFT_MS = 20;
+/** Time beyond what was expected after which a target that told nothing at all is taken as silent: longer than any call of a plain service. */
+const SILENCE_MS = 600;
+/** Expected times to the first bytes that are waited besides. */
+const SILENCE_FACTOR = 2;
 /** Number of values of a hash. */
 const HASH_RANGE = 2 ** 32;
 /** Wait told with a refusal that no estimate stands behind. */
@@ -68,7 +74,7 @@
 	// Taking a read prompt over is not another attempt: the read before it was not counted.
 	served.attempts += plan.isRead ? 0 : 1;
 	served.attempt = {
-		attemptId, target: plan.target, isRead: plan.isRead, counted: {...plan.counted}, sentAtMs: nowMs, isBegun: false,
+		attemptId, target: plan.target, isRead: plan.isRead, counted: {...plan.counted}, sentAtMs: nowMs, silentAtMs: nowMs + SILENCE_MS + (SILENCE_FACTOR * plan.startMs), isBegun: false,
 	};
 	plan.target.own.running += 1;
 	countWork(plan.target, plan.counted, 1);
@@ -142,7 +148,7 @@
 	return plan === undefined
 		? {refusal: ERROR_CODES.noTarget, retryAfterMs: DEFAULT_RETRY_AFTER_MS}
 		: {
-			target: plan.target, isRead: false, counted: NOTHING_READ, handle: undefined, source: undefined, detail: {running: plan.running},
+			target: plan.target, isRead: false, counted: NOTHING_READ, handle: undefined, source: undefined, startMs: 0, detail: {running: plan.running},
 		};
 }
 
@@ -183,6 +189,7 @@
 		counted: {readMs: plan.readMs, shortReadMs: plan.isLong ? 0 : plan.readMs, copyMs: plan.copyMs},
 		handle: undefined,
 		source: plan.source,
+		startMs: plan.startMs,
 		detail: describePlan(plan),
 	};
 }
@@ -210,7 +217,7 @@
 	return target === undefined
 		? undefined
 		: {
-			target, isRead: false, counted: NOTHING_READ, handle, source: undefined, detail: {tookOver: handle.handleId},
+			target, isRead: false, counted: NOTHING_READ, handle, source: undefined, startMs: 0, detail: {tookOver: handle.handleId},
 		};
 }
 
@@ -247,11 +254,11 @@
  * @param served - the call, changed
  * @param times - present time by both clocks
  */
-export function beginAttempt(state: ServingState, served: ServingCall, {wallMs}: {nowMs: number; wallMs: number}): void {
+export function beginAttempt(state: ServingState, served: ServingCall, {nowMs, wallMs}: {nowMs: number; wallMs: number}): void {
 	const attempt = served.attempt!;
 	attempt.isBegun = true;
 	releaseWork(attempt);
-	recordAnswer(attempt.target);
+	recordAnswer(attempt.target, nowMs);
 	if (!served.isCounted) {
 		served.isCounted = true;
 		if (served.customerId !== undefined) {
@@ -292,8 +299,8 @@
 	releaseWork(attempt);
 	if (FAULTS.has(result)) {
 		recordFault(attempt.target, nowMs);
-	} else if (result === ATTEMPT_RESULTS.answered) {
-		recordAnswer(attempt.target);
+	} else if (result === ATTEMPT_RESULTS.answered || result === ATTEMPT_RESULTS.notRun) {
+		recordAnswer(attempt.target, nowMs);
 	}
 }
 
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -17,6 +17,8 @@
 	/** Reading and copying counted for the target until its first bytes. */
 	counted: {readMs: number; shortReadMs: number; copyMs: number};
 	readonly sentAtMs: number;
+	/** Time from which the target's silence counts against it. */
+	silentAtMs: number;
 	isBegun: boolean;
 };
 
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -2,6 +2,7 @@
 import {createSocket} from 'node:dgram';
 import {JSONRPCClient, JSONRPCServer} from 'json-rpc-2.0';
 import {type PeerReport} from '@damaskspool/core';
+import {formatPeerReport, parsePeerReport} from './peerReportForm.js';
 
 /** Options of {@link createPeerLink}. */
 export type PeerLinkOptions = {
@@ -24,7 +25,7 @@
 };
 
 /** Shortest time between reports for a handful of peers: a fraction of the time that reading a prompt takes. */
-const REPORT_INTERVAL_MS = 20;
+const REPORT_INTERVAL_MS = 40;
 /** Peers for which that interval holds; it grows with their number, so that an entry's messages stay bounded. */
 const PEERS_AT_INTERVAL = 6;
 /** Longest time between reports. */
@@ -44,7 +45,13 @@
 	let lastSentAtMs = 0;
 
 	const receiver = new JSONRPCServer();
-	receiver.addMethod('work', (report: PeerReport) => {
+	receiver.addMethod('work', (parameters: unknown) => {
+		const report = parsePeerReport(parameters);
+		if (report === undefined) {
+			onFailure('a report of a peer is malformed');
+			return;
+		}
+
 		onReport(report);
 	});
 	const sender = new JSONRPCClient(message => {
@@ -62,7 +69,7 @@
 		clearTimeout(timer);
 		timer = undefined;
 		lastSentAtMs = performance.now();
-		sender.notify('work', createReport());
+		sender.notify('work', formatPeerReport(createReport()));
 	};
 
 	socket.on('message', bytes => {
--- /dev/null
+++ b/packages/daemon/src/direct/peerReportForm.ts
@@ -0,0 +1,54 @@
+import {z} from 'zod';
+import {type PeerReport} from '@damaskspool/core';
+
+const countsSchema = z.record(z.string(), z.number());
+
+/** A report by position: it is sent many times a second, and bytes between zones are dear. */
+const formSchema = z.tuple([
+	z.string(),
+	z.string(),
+	z.string(),
+	z.number(),
+	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
+	z.array(z.tuple([z.string(), z.string(), z.number()])),
+	z.array(z.tuple([z.number(), countsSchema])),
+]);
+
+/** See {@link formatPeerReport}. */
+export type PeerReportForm = z.infer<typeof formSchema>;
+
+/**
+ * Writes a report by position.
+ *
+ * @param report - the report
+ * @returns its values: entry, process, zone, sequence, work, uses, usage
+ */
+export function formatPeerReport(report: PeerReport): PeerReportForm {
+	return [
+		report.entryId,
+		report.processId,
+		report.availabilityZone,
+		report.sequence,
+		report.work.map(work => [...work]),
+		report.uses.map(use => [...use]),
+		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
+	];
+}
+
+/**
+ * Reads a report that was written by position.
+ *
+ * @param parameters - its values
+ * @returns the report, or undefined where the values are none
+ */
+export function parsePeerReport(parameters: unknown): PeerReport | undefined {
+	const parsed = formSchema.safeParse(parameters);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const [entryId, processId, availabilityZone, sequence, work, uses, usage] = parsed.data;
+	return {
+		entryId, processId, availabilityZone, sequence, work, uses, usage,
+	};
+}
