Stop running a request that broke three targets, and end a term that another holder has superseded

Change: breaks are kept by method, path, caller and body, told to peers, cleared by an answered run; a report refused for its fencing number ends the term.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -98,3 +98,4 @@
 export * from './serving/servingState.js';
 export * from './usage/servedUsage.js';
 export * from './membership/targetCatalog.js';
+export * from './retries/crashSuspicions.js';
--- a/packages/core/src/lease/leaseState.ts
+++ b/packages/core/src/lease/leaseState.ts
@@ -150,6 +150,19 @@
 		: {epoch: held.epoch, remainingMs: held.expiresAtMs - nowMs};
 }
 
+/**
+ * Ends a term at once: something proved that another process holds the duty.
+ *
+ * @param state - leases of this entry, changed
+ * @param dutyName - the duty
+ */
+export function dropDuty(state: LeaseState, dutyName: string): void {
+	const duty = state.duties.get(dutyName);
+	if (duty !== undefined) {
+		duty.held = undefined;
+	}
+}
+
 /**
  * Counts the duties that are held at a given time.
  *
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -5,7 +5,9 @@
 	beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation,
 } from './callAttempts.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
-import {ATTEMPT_RESULTS, type CallRecord, type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {
+	ATTEMPT_RESULTS, type CallRecord, type ServingEffect, type ServingEvent,
+} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
@@ -13,7 +15,7 @@
 export const callHandlers: HandlerTable<ServingState, ServingEvent, ServingEffect> = {
 	'call.arrived'(state, event) {
 		const {callId, call, nowMs, waitedMs} = event;
-		const resolved = resolveCall(state, call);
+		const resolved = resolveCall(state, call, nowMs);
 		if (typeof resolved === 'string') {
 			return [{
 				type: 'call.refuse', callId, code: resolved, outcome: OUTCOMES.refusedNotRun, retryAfterMs: undefined,
@@ -93,6 +95,10 @@
 
 		endAttemptWork(state, served, {result, nowMs});
 		if (handleId === undefined) {
+			if (result === ATTEMPT_RESULTS.unknown) {
+				recordBreak(state, served, nowMs);
+			}
+
 			served.excluded.add(attempt.target.record.targetId);
 			advanceRequest(served, {type: 'failNotRun'});
 			return planNextAttempt(state, served, nowMs);
@@ -124,6 +130,7 @@
 /** What follows from the end of an attempt, by how it ended. */
 const settleAttempt: Readonly<Record<AttemptEnded['result'], SettleAttempt>> = {
 	answered(state, served, {nowMs}) {
+		state.suspicions.recordAnswer(served.call.fingerprint);
 		advanceRequest(served, {type: 'finish'});
 		return endCall(state, served, {nowMs, outcome: 'answered'});
 	},
@@ -134,6 +141,7 @@
 		return repeatNotRun(state, served, {nowMs, detail});
 	},
 	unknown(state, served, {nowMs, detail}) {
+		recordBreak(state, served, nowMs);
 		served.excluded.add(served.attempt?.target.record.targetId ?? '');
 		const next = advanceRequest(served, {type: 'failUnknown'});
 		if (next === 'retrying') {
@@ -171,6 +179,12 @@
 	return [createAttemptRecord(served, 'notRun', detail), ...planNextAttempt(state, served, nowMs)];
 }
 
+function recordBreak({suspicions}: ServingState, {attempt, call}: ServingCall, nowMs: number): void {
+	if (attempt !== undefined) {
+		suspicions.recordBreak(call.fingerprint, attempt.target.record.targetId, nowMs);
+	}
+}
+
 function createAttemptRecord({call, attempt}: ServingCall, result: string, detail: string): ServingEffect {
 	return {
 		type: 'decision.record', name: 'attempt.ended', subject: call.requestId, detail: {result, detail, target: attempt?.target.record.targetId},
@@ -214,7 +228,7 @@
 
 type ResolvedCall = {readonly route: RouteRecord; readonly serviceId: string; readonly customerId: string | undefined};
 
-function resolveCall(state: ServingState, call: CallRecord): ResolvedCall | ErrorCode {
+function resolveCall(state: ServingState, call: CallRecord, nowMs: number): ResolvedCall | ErrorCode {
 	const {configuration} = state;
 	if (configuration === undefined || !state.hasTargets) {
 		return ERROR_CODES.notReady;
@@ -230,6 +244,10 @@
 		return call.key === undefined ? ERROR_CODES.keyMissing : ERROR_CODES.keyUnknown;
 	}
 
+	if (state.suspicions.isQuarantined(call.fingerprint, nowMs)) {
+		return ERROR_CODES.quarantined;
+	}
+
 	const serviceId = pickService(route.shares, call.requestId);
 	return serviceId === undefined ? ERROR_CODES.noTarget : {route, serviceId, customerId: owner?.customerId};
 }
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -56,6 +56,7 @@
 			state.placement.homes.recordUse(partId, targetId, tokens);
 		}
 
+		state.suspicions.merge(report.crashes, nowMs);
 		state.usage.merge(report);
 		if (state.membership.peers.has(report.entryId)) {
 			return [];
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,4 +1,5 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
+import {type CrashNews} from '../retries/crashSuspicions.js';
 import {type BaseEvent} from '../reducer/createReducer.js';
 import {type LeaseEffect, type LeaseEvent} from '../lease/leaseMessages.js';
 import {
@@ -107,6 +108,8 @@
 	readonly work: ReadonlyArray<readonly [targetId: string, running: number, readMs: number, shortReadMs: number, copyMs: number]>;
 	/** Shared parts that targets were lately given. */
 	readonly uses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
+	/** Requests that broke targets, or were answered after all. */
+	readonly crashes: readonly CrashNews[];
 	/** Counts so far of the latest windows. */
 	readonly usage: ReadonlyArray<readonly [windowId: number, counts: UsageCountsByCustomer]>;
 };
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -3,6 +3,7 @@
 import {createTargetCatalog, type TargetCatalog} from '../membership/targetCatalog.js';
 import {createPlacementState, type PlacedTarget, type PlacementState} from '../placement/placementState.js';
 import {DEFAULT_PLACEMENT_SETTINGS, type PlacementSettings} from '../placement/placementSettings.js';
+import {createCrashSuspicions, type CrashSuspicions} from '../retries/crashSuspicions.js';
 import {createRepeatBudget, type RepeatBudget} from '../retries/repeatBudget.js';
 import {createServedUsage, type ServedUsage} from '../usage/servedUsage.js';
 import {type RequestSnapshot} from '../request/requestRecord.js';
@@ -68,6 +69,7 @@
 	/** Longest deadline of a caller by route: one that is clearly shorter was spent in part before. */
 	readonly deadlinesByRoute: Map<string, number>;
 	readonly budget: RepeatBudget;
+	readonly suspicions: CrashSuspicions;
 	readonly usage: ServedUsage;
 	readonly lease: LeaseState;
 	/** Peer entries that may bid for the duty. */
@@ -127,6 +129,7 @@
 		budget: createRepeatBudget({
 			share: options.repeatShare, allowance: options.repeatAllowance, windowMs: options.budgetWindowMs,
 		}),
+		suspicions: createCrashSuspicions(),
 		usage: createServedUsage({windowMs: options.usageWindowMs}),
 		lease: createLeaseState({
 			instanceId, processId, availabilityZone, region,
--- a/packages/core/src/usage/servedUsageHandlers.ts
+++ b/packages/core/src/usage/servedUsageHandlers.ts
@@ -1,5 +1,5 @@
 import {SECOND_MS} from '@damaskspool/shared';
-import {findHeldDuty} from '../lease/leaseState.js';
+import {dropDuty, findHeldDuty} from '../lease/leaseState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {CONTROL_DUTY, type ServingState} from '../serving/servingState.js';
 import {type SealedUsage, type ServingEffect, type ServingEvent} from '../serving/servingMessages.js';
@@ -10,6 +10,8 @@
 const SEALED_LIMIT = 12;
 /** Term that must be left before a call that needs the duty is begun. */
 const LEAST_TERM_MS = 200;
+/** Status with which the platform refuses a call, since a higher fencing number was used. */
+const STATUS_SUPERSEDED = 409;
 /** Status with which the platform takes a report. */
 const STATUS_OK = 200;
 
@@ -38,10 +40,13 @@
 		usage.sealed = result.kind === 'failed' ? undefined : {version: result.version, windows: result.sealed};
 		return [];
 	},
-	'usage.reportEnded'({usage}, {windowId, status}) {
+	'usage.reportEnded'({usage, lease}, {windowId, status}) {
 		usage.reporting.delete(windowId);
 		if (status === STATUS_OK) {
 			usage.reported.add(windowId);
+		} else if (status === STATUS_SUPERSEDED) {
+			// Another holder has acted: this term is over, whatever the own clock says.
+			dropDuty(lease, CONTROL_DUTY);
 		}
 
 		return [{
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -25,6 +25,8 @@
 const OVERLOAD_LAG_MS = 150;
 /** Wait told with such a refusal: a freshly started process has caught up by then. */
 const OVERLOAD_RETRY_MS = 600;
+/** Characters of a fingerprint: 72 bits, so that no two requests of a day share one. */
+const FINGERPRINT_LENGTH = 12;
 /** Time between looks for connections whose head is late. */
 const CHECK_INTERVAL_MS = 1000;
 /** Limits until a configuration is known. */
@@ -131,7 +133,7 @@
 }
 
 function computeFingerprint(method: string, {path, key}: CallerCall, body: Buffer): string {
-	return createHash('sha1').update(`${method}\n${path}\n${key ?? ''}\n`).update(body).digest('base64');
+	return createHash('sha1').update(`${method}\n${path}\n${key ?? ''}\n`).update(body).digest('base64').slice(0, FINGERPRINT_LENGTH);
 }
 
 type CallerCall = Pick<CallRecord, 'path' | 'key'>;
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -85,6 +85,7 @@
 			sequence,
 			work: listWork(state),
 			uses,
+			crashes: state.suspicions.takeNews(),
 			usage: isUsageDue ? state.usage.listOwn(Date.now()) : [],
 		};
 	};
--- a/packages/daemon/src/direct/peerReportForm.ts
+++ b/packages/daemon/src/direct/peerReportForm.ts
@@ -11,6 +11,7 @@
 	z.number(),
 	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
+	z.array(z.tuple([z.string(), z.string()])),
 	z.array(z.tuple([z.number(), countsSchema])),
 ]);
 
@@ -21,7 +22,7 @@
  * Writes a report by position.
  *
  * @param report - the report
- * @returns its values: entry, process, zone, sequence, work, uses, usage
+ * @returns its values: entry, process, zone, sequence, work, uses, crashes, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportForm {
 	return [
@@ -31,6 +32,7 @@
 		report.sequence,
 		report.work.map(work => [...work]),
 		report.uses.map(use => [...use]),
+		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
 		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
 	];
 }
@@ -47,8 +49,8 @@
 		return undefined;
 	}
 
-	const [entryId, processId, availabilityZone, sequence, work, uses, usage] = parsed.data;
+	const [entryId, processId, availabilityZone, sequence, work, uses, crashes, usage] = parsed.data;
 	return {
-		entryId, processId, availabilityZone, sequence, work, uses, usage,
+		entryId, processId, availabilityZone, sequence, work, uses, crashes, usage,
 	};
 }
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -63,7 +63,7 @@
 	deadline_exceeded: {status: 504, message: 'the deadline of the request passed'},
 	deadline_hopeless: {status: 503, message: 'the request could not have met its deadline'},
 	rate_limited: {status: 429, message: 'the customer is over its rate'},
-	quarantined: {status: 422, message: 'this request was running each time a target crashed and is not run again'},
+	quarantined: {status: 503, message: 'this request was running each time a target crashed and is not run again'},
 	target_unreachable: {status: 502, message: 'the target could not be reached'},
 	target_failed: {status: 502, message: 'the target failed while it ran the request'},
 	answer_malformed: {status: 502, message: 'the answer of the target was malformed'},
