Test placement through loads, usage through races, and what follows from each end of an attempt

Properties and played loads for what the direct entry decides: repeats summed over entries, one figure a window under lost replies and pauses, work counted and released, slots left to short prompts.

--- /dev/null
+++ b/packages/core/src/membership/__tests__/targetCatalog.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createTestTarget} from '../../placement/__tests__/createTestPlacement.js';
+import {
+	applyRegistrations, createTargetCatalog, expireRegistrations, listTargets, type TargetCatalog,
+} from '../targetCatalog.js';
+
+function listIds(catalog: TargetCatalog): string[] {
+	return listTargets(catalog).map(({targetId}) => targetId);
+}
+
+describe('the catalog of targets', () => {
+	it('drops a target at once whose registration is removed while the store is well', () => {
+		const catalog = createTargetCatalog();
+		applyRegistrations(catalog, {targets: [createTestTarget('a'), createTestTarget('b')], removed: [], isWhole: true}, 0);
+		applyRegistrations(catalog, {targets: [], removed: ['a'], isWhole: false}, 10_000);
+		assert.deepEqual(listIds(catalog), ['b']);
+	});
+
+	it('keeps a target that lapsed with the store away until it had time to return, and no longer', () => {
+		const catalog = createTargetCatalog();
+		applyRegistrations(catalog, {targets: [createTestTarget('a'), createTestTarget('b')], removed: [], isWhole: true}, 0);
+		catalog.storeFailedAtMs = 10_000;
+		applyRegistrations(catalog, {targets: [], removed: [], isWhole: true}, 10_100);
+		assert.deepEqual(listIds(catalog), ['a', 'b']);
+		applyRegistrations(catalog, {targets: [createTestTarget('b')], removed: [], isWhole: false}, 11_000);
+		assert.equal(expireRegistrations(catalog, 12_500), true);
+		assert.deepEqual(listIds(catalog), ['b']);
+	});
+
+	it('never takes back that a target is leaving, but knows a new incarnation under its name', () => {
+		const catalog = createTargetCatalog();
+		applyRegistrations(catalog, {targets: [createTestTarget('a', {isLeaving: true})], removed: [], isWhole: true}, 0);
+		applyRegistrations(catalog, {targets: [createTestTarget('a')], removed: [], isWhole: false}, 100);
+		assert.equal(listTargets(catalog)[0]?.isLeaving, true);
+		applyRegistrations(catalog, {targets: [createTestTarget('a', {startedAtMs: 2})], removed: [], isWhole: false}, 200);
+		assert.equal(listTargets(catalog)[0]?.isLeaving, false);
+	});
+});
--- /dev/null
+++ b/packages/core/src/placement/__tests__/placeGeneration.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {STAGES} from '../../serving/servingRecords.js';
+import {placeGeneration} from '../placeGeneration.js';
+import {DEFAULT_PLACEMENT_SETTINGS} from '../placementSettings.js';
+import {applyTargets, type PlacementState} from '../placementState.js';
+import {
+	createTestDemand, createTestPlacement, createTestTarget, TEST_ENGINE,
+} from './createTestPlacement.js';
+
+const SHORT_PROMPT = {tokens: 300, outputTokens: 40, parts: [{partId: 'small', tokens: 60}, {partId: 'own', tokens: 240}]};
+
+function place(state: PlacementState, fields: Parameters<typeof createTestDemand>[0] = {}, nowMs = 0) {
+	return placeGeneration({
+		state, demand: createTestDemand(fields), engine: TEST_ENGINE, settings: DEFAULT_PLACEMENT_SETTINGS, nowMs,
+	});
+}
+
+describe('placing a generation', () => {
+	it('has a long prompt that nobody keeps read apart', () => {
+		const plan = place(createTestPlacement([STAGES.prefill, STAGES.decode, STAGES.decode]));
+		assert.equal(plan?.reader?.record.targetId, 'target0');
+		assert.notEqual(plan.target.record.targetId, 'target0');
+	});
+
+	it('has a long prompt whose shared part is kept by an idle target read there', () => {
+		const state = createTestPlacement([STAGES.prefill, STAGES.decode, STAGES.decode]);
+		state.homes.recordUse('shared', 'target2', 13_300);
+		const plan = place(state);
+		assert.equal(plan?.target.record.targetId, 'target2');
+		assert.equal(plan.reader, undefined);
+		assert.equal(plan.cachedTokens, 13_300);
+	});
+
+	it('has a kept part fetched where its keeper is busy', () => {
+		const state = createTestPlacement([STAGES.decode, STAGES.decode]);
+		state.homes.recordUse('shared', 'target0', 13_300);
+		state.targets.get('target0')!.own.readMs = 400;
+		const plan = place(state);
+		assert.equal(plan?.target.record.targetId, 'target1');
+		assert.equal(plan.source?.record.targetId, 'target0');
+	});
+
+	it('never reads a short prompt apart, and starts it beside a long read', () => {
+		const state = createTestPlacement([STAGES.prefill, STAGES.decode]);
+		state.targets.get('target1')!.own.readMs = 800;
+		const plan = place(state, {prompt: SHORT_PROMPT, bodyBytes: 400, goalLeftMs: 200});
+		assert.equal(plan?.reader, undefined);
+		assert.ok(plan!.startMs < 100, `expected to start after ${plan!.startMs} ms`);
+	});
+
+	it('leaves slots to short prompts', () => {
+		const state = createTestPlacement([STAGES.decode]);
+		state.targets.get('target0')!.own.running = 12;
+		assert.equal(place(state), undefined);
+		assert.equal(place(state, {prompt: SHORT_PROMPT})?.target.record.targetId, 'target0');
+	});
+
+	it('reads apart what it would read itself where much is generated', () => {
+		const state = createTestPlacement([STAGES.prefill, STAGES.decode]);
+		state.homes.recordUse('shared', 'target1', 13_300);
+		assert.equal(place(state)?.reader, undefined);
+		state.targets.get('target1')!.own.running = 10;
+		assert.equal(place(state)?.reader?.record.targetId, 'target0');
+	});
+
+	it('counts what peers have under way, less the age of their word', () => {
+		const state = createTestPlacement([STAGES.decode, STAGES.decode]);
+		state.peers.set('peer', {
+			sequence: 1,
+			processId: 'a',
+			atMs: 0,
+			workByTarget: new Map([['target0', {
+				running: 0, readMs: 500, shortReadMs: 0, copyMs: 0,
+			}]]),
+		});
+		assert.equal(place(state)?.target.record.targetId, 'target1');
+		state.targets.get('target1')!.own.readMs = 300;
+		assert.equal(place(state, {}, 1200)?.target.record.targetId, 'target0');
+	});
+
+	it('chooses a target that is in use, not excluded and not leaving, whatever the load', () => {
+		const load = fc.record({
+			running: fc.integer({min: 0, max: 20}), readMs: fc.integer({min: 0, max: 2000}), isLeaving: fc.boolean(), isExcluded: fc.boolean(), isReader: fc.boolean(), isAvoided: fc.boolean(),
+		});
+		fc.assert(fc.property(fc.array(load, {minLength: 1, maxLength: 12}), fc.boolean(), (loads, isLong) => {
+			const state = createTestPlacement([]);
+			applyTargets(state, loads.map(({isLeaving, isReader}, index) =>
+				createTestTarget(`target${index}`, {isLeaving, stage: isReader ? STAGES.prefill : STAGES.decode})));
+			for (const [index, {running, readMs, isAvoided}] of loads.entries()) {
+				const target = state.targets.get(`target${index}`)!;
+				target.own.running = running;
+				target.own.readMs = readMs;
+				target.avoidUntilMs = isAvoided ? 10 : 0;
+			}
+
+			const excluded = new Set(loads.flatMap(({isExcluded}, index) => isExcluded ? [`target${index}`] : []));
+			const plan = place(state, {excluded, ...(isLong ? {} : {prompt: SHORT_PROMPT})});
+			for (const target of [plan?.target, plan?.reader]) {
+				assert.ok(target === undefined || (!target.record.isLeaving && !excluded.has(target.record.targetId)));
+			}
+
+			assert.notEqual(plan?.target.record.stage, STAGES.prefill);
+			assert.ok(plan === undefined || Number.isFinite(plan.loss));
+		}));
+	});
+});
--- /dev/null
+++ b/packages/core/src/retries/__tests__/repeatBudget.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createRepeatBudget} from '../repeatBudget.js';
+
+const OPTIONS = {share: 0.2, allowance: 58, windowMs: 10_000} as const;
+
+describe('the budget of repeats', () => {
+	it('holds over any window, summed over entries that know nothing of one another\'s repeats', () => {
+		const step = fc.record({entry: fc.integer({min: 0, max: 5}), afterMs: fc.integer({min: 0, max: 300}), isRequest: fc.boolean()});
+		fc.assert(fc.property(fc.array(step, {maxLength: 400}), steps => {
+			const budgets = Array.from({length: 6}, () => createRepeatBudget(OPTIONS));
+			const requests: number[] = [];
+			const repeats: number[] = [];
+			let nowMs = 0;
+			for (const {entry, afterMs, isRequest} of steps) {
+				nowMs += afterMs;
+				if (isRequest) {
+					requests.push(nowMs);
+					budgets[entry]!.recordRequest('service', nowMs);
+				} else if (budgets[entry]!.take('service', 6, nowMs)) {
+					repeats.push(nowMs);
+				}
+
+				const count = (times: readonly number[]) => times.filter(atMs => atMs > nowMs - OPTIONS.windowMs).length;
+				assert.ok(count(repeats) <= (OPTIONS.share * count(requests)) + OPTIONS.allowance);
+			}
+		}));
+	});
+
+	it('allows some repeats before any request was answered', () => {
+		assert.equal(createRepeatBudget(OPTIONS).take('service', 6, 0), true);
+	});
+});
--- /dev/null
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -0,0 +1,138 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {OUTCOMES} from '@damaskspool/shared';
+import {createTestTarget} from '../../placement/__tests__/createTestPlacement.js';
+import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect, type ServingEvent} from '../servingMessages.js';
+import {reduceServing} from '../servingReducer.js';
+import {type RouteKind, type RouteRecord, type ServingConfiguration} from '../servingRecords.js';
+import {createServingState, type ServingState} from '../servingState.js';
+
+function createTestRoute(kind: RouteKind, fields: Partial<RouteRecord> = {}): RouteRecord {
+	return {
+		name: kind, host: 'host', pathPrefix: `/${kind}/`, kind, timeoutMs: 2000, goalMs: 300, attemptLimit: 3, priority: 0, isOpen: true, isResumable: false, shares: [{serviceId: 'plain', weight: 1}], ...fields,
+	};
+}
+
+function createTestConfiguration(version = 1): ServingConfiguration {
+	return {
+		version,
+		routes: [createTestRoute('safe'), createTestRoute('unsafe'), createTestRoute('stream')],
+		services: new Map([['plain', {serviceId: 'plain', connectionLimit: 100, engine: undefined}]]),
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		ownersByKey: undefined,
+	};
+}
+
+function createTestState(): ServingState {
+	const state = createServingState({
+		instanceId: 'entry', processId: 'p', availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, repeatShare: 0.2, repeatAllowance: 1000, budgetWindowMs: 10_000,
+	});
+	reduceServing(state, {type: 'configuration.changed', configuration: createTestConfiguration(), nowMs: 0});
+	reduceServing(state, {
+		type: 'targets.changed', targets: ['a', 'b', 'c', 'd'].map(targetId => createTestTarget(targetId, {serviceId: 'plain', stage: undefined})), removed: [], isWhole: true, nowMs: 0,
+	});
+	return state;
+}
+
+function createArrival(callId: number, kind: RouteKind, nowMs: number): ServingEvent {
+	return {
+		type: 'call.arrived',
+		callId,
+		call: {
+			requestId: `request${callId}`, host: 'host', path: `/${kind}/x`, key: undefined, deadlineMs: 3000, bodyBytes: 0, prompt: undefined, fingerprint: `f${callId}`,
+		},
+		wallMs: nowMs,
+		waitedMs: 0,
+		nowMs,
+	};
+}
+
+const findSend = (effects: readonly ServingEffect[]) => effects.find(effect => effect.type === 'attempt.send');
+const findRefusal = (effects: readonly ServingEffect[]) => effects.find(effect => effect.type === 'call.refuse');
+
+describe('the reducer of an entry that sends to targets directly', () => {
+	it('runs what may not be repeated once at most, and says "not run" only where that is proved', () => {
+		const result = fc.constantFrom<AttemptResult>(ATTEMPT_RESULTS.notRun, ATTEMPT_RESULTS.unreached, ATTEMPT_RESULTS.unknown, ATTEMPT_RESULTS.failed);
+		const kind = fc.constantFrom<RouteKind>('safe', 'unsafe', 'stream');
+		fc.assert(fc.property(kind, fc.array(result, {maxLength: 6}), (routeKind, results) => {
+			const state = createTestState();
+			let effects = reduceServing(state, createArrival(1, routeKind, 0));
+			let mayHaveRun = 0;
+			for (const [index, ended] of results.entries()) {
+				const send = findSend(effects);
+				if (send === undefined) {
+					break;
+				}
+
+				mayHaveRun += ended === ATTEMPT_RESULTS.notRun || ended === ATTEMPT_RESULTS.unreached ? 0 : 1;
+				effects = reduceServing(state, {
+					type: 'attempt.ended', callId: 1, attemptId: send.attemptId, result: ended, isStarted: false, hasRun: ended === ATTEMPT_RESULTS.failed, wallMs: 0, detail: '', nowMs: index + 1,
+				});
+				const refusal = findRefusal(effects);
+				assert.equal(refusal?.outcome === OUTCOMES.refusedNotRun && mayHaveRun > 0, false);
+			}
+
+			assert.ok(routeKind === 'safe' || mayHaveRun <= 1);
+		}));
+	});
+
+	it('leaves no work counted at any target once all calls have ended', () => {
+		const end = fc.constantFrom<'answered' | 'left' | 'expired' | 'unknown' | 'notRun'>('answered', 'left', 'expired', 'unknown', 'notRun');
+		fc.assert(fc.property(fc.array(end, {maxLength: 30}), ends => {
+			const state = createTestState();
+			const sends = ends.map((_, index) => findSend(reduceServing(state, createArrival(index, 'unsafe', 0))));
+			for (const [callId, kind] of ends.entries()) {
+				const send = sends[callId];
+				if (send === undefined) {
+					continue;
+				}
+
+				if (kind === 'left' || kind === 'expired') {
+					reduceServing(state, {type: `call.${kind}`, callId, nowMs: 5});
+					continue;
+				}
+
+				let effects = reduceServing(state, {
+					type: 'attempt.ended', callId, attemptId: send.attemptId, result: kind, isStarted: false, hasRun: false, wallMs: 0, detail: '', nowMs: 5,
+				});
+				for (let next = findSend(effects); next !== undefined; next = findSend(effects)) {
+					effects = reduceServing(state, {
+						type: 'attempt.ended', callId, attemptId: next.attemptId, result: 'answered', isStarted: true, hasRun: true, wallMs: 0, detail: '', nowMs: 6,
+					});
+				}
+			}
+
+			assert.equal(state.calls.size, 0);
+			for (const {own} of state.placement.targets.values()) {
+				assert.deepEqual(own, {
+					running: 0, readMs: 0, shortReadMs: 0, copyMs: 0,
+				});
+			}
+		}));
+	});
+
+	it('ends a call at its timeout with an answer that promises nothing, and cancels its attempt', () => {
+		const state = createTestState();
+		reduceServing(state, createArrival(1, 'unsafe', 0));
+		const effects = reduceServing(state, {type: 'call.expired', callId: 1, nowMs: 2000});
+		assert.equal(findRefusal(effects)?.outcome, OUTCOMES.refusedUnknown);
+		assert.ok(effects.some(({type}) => type === 'attempt.cancel'));
+	});
+
+	it('never goes back to an older configuration', () => {
+		const state = createTestState();
+		reduceServing(state, {type: 'configuration.changed', configuration: createTestConfiguration(9), nowMs: 1});
+		reduceServing(state, {type: 'configuration.changed', configuration: createTestConfiguration(8), nowMs: 2});
+		assert.equal(state.configuration?.version, 9);
+	});
+
+	it('refuses as not ready before it knows configuration and targets', () => {
+		const state = createServingState({
+			instanceId: 'entry', processId: 'p', availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, repeatShare: 0.2, repeatAllowance: 10, budgetWindowMs: 10_000,
+		});
+		assert.equal(findRefusal(reduceServing(state, createArrival(1, 'safe', 0)))?.code, 'not_ready');
+	});
+});
--- /dev/null
+++ b/packages/core/src/usage/__tests__/servedUsage.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {type LeaseRecord} from '@damaskspool/shared';
+import {reduceServing} from '../../serving/servingReducer.js';
+import {type SealedUsage, type ServingEffect, type ServingEvent, type UsageCountsByCustomer} from '../../serving/servingMessages.js';
+import {createServingState, type ServingState} from '../../serving/servingState.js';
+
+/** The parts of the store that usage needs, with the platform's intake. */
+type World = {
+	lease: {version: number; record: LeaseRecord | undefined};
+	sealed: {version: number; windows: SealedUsage};
+	readonly reports: Map<number, string>;
+	readonly conflicts: number[];
+	highestFence: number;
+};
+
+function createWorld(): World {
+	return {
+		lease: {version: 0, record: undefined}, sealed: {version: 0, windows: {}}, reports: new Map(), conflicts: [], highestFence: 0,
+	};
+}
+
+function createHolder(name: string): ServingState {
+	return createServingState({
+		instanceId: name, processId: name, availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, repeatShare: 0.2, repeatAllowance: 10, budgetWindowMs: 10_000,
+	});
+}
+
+/** Carries an effect out, or leaves its reply out where it is lost. */
+function carryOut(world: World, effect: ServingEffect, isReplyLost: boolean): ServingEvent | undefined {
+	const nowMs = 0;
+	switch (effect.type) {
+		case 'lease.read': {
+			return {
+				type: 'lease.readEnded', dutyName: effect.dutyName, callId: effect.callId, result: {kind: 'read', ...world.lease}, nowMs,
+			};
+		}
+
+		case 'lease.write': {
+			const isTaken = effect.expectedVersion === world.lease.version;
+			if (isTaken) {
+				world.lease = {version: world.lease.version + 1, record: effect.record};
+			}
+
+			return {
+				type: 'lease.writeEnded', dutyName: effect.dutyName, callId: effect.callId, nowMs, result: isReplyLost ? {kind: 'unknown'} : (isTaken ? {kind: 'written', version: world.lease.version} : {kind: 'conflict'}),
+			};
+		}
+
+		case 'usage.read': {
+			return {type: 'usage.sealEnded', result: {kind: 'read', version: world.sealed.version, sealed: world.sealed.windows}, nowMs};
+		}
+
+		case 'usage.seal': {
+			const isTaken = effect.expectedVersion === world.sealed.version;
+			if (isTaken) {
+				world.sealed = {version: world.sealed.version + 1, windows: effect.sealed};
+			}
+
+			return {type: 'usage.sealEnded', result: isTaken && !isReplyLost ? {kind: 'written', version: world.sealed.version, sealed: effect.sealed} : {kind: 'failed'}, nowMs};
+		}
+
+		case 'usage.report': {
+			return {type: 'usage.reportEnded', windowId: effect.windowId, status: recordReport(world, effect), nowMs};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
+
+function recordReport(world: World, {windowId, counts, fence}: {windowId: number; counts: UsageCountsByCustomer; fence: number}): number {
+	if (fence < world.highestFence) {
+		return 409;
+	}
+
+	world.highestFence = fence;
+	const figures = JSON.stringify(counts);
+	const known = world.reports.get(windowId);
+	if (known !== undefined && known !== figures) {
+		world.conflicts.push(windowId);
+	}
+
+	world.reports.set(windowId, figures);
+	return 200;
+}
+
+describe('usage of windows', () => {
+	it('is reported with one figure a window, whoever is killed, paused or loses replies', () => {
+		const step = fc.record({holder: fc.integer({min: 0, max: 2}), afterMs: fc.integer({min: 50, max: 1500}), isReplyLost: fc.boolean(), isCounted: fc.boolean()});
+		fc.assert(fc.property(fc.array(step, {minLength: 20, maxLength: 250}), steps => {
+			const world = createWorld();
+			const holders = ['a', 'b', 'c'].map(name => createHolder(name));
+			let nowMs = 0;
+			for (const {holder, afterMs, isReplyLost, isCounted} of steps) {
+				nowMs += afterMs;
+				const state = holders[holder]!;
+				if (isCounted) {
+					state.usage.record('customer', nowMs);
+				}
+
+				const pending = [...reduceServing(state, {type: 'tick', nowMs, wallMs: nowMs})];
+				for (let effect = pending.shift(); effect !== undefined; effect = pending.shift()) {
+					const reply = carryOut(world, effect, isReplyLost);
+					if (reply !== undefined) {
+						pending.push(...reduceServing(state, {...reply, nowMs}));
+					}
+				}
+			}
+
+			assert.deepEqual(world.conflicts, []);
+		}), {numRuns: 200});
+	});
+
+	it('adds up what entries told, and keeps the highest count of each process', () => {
+		const {usage} = createHolder('a');
+		usage.record('customer', 6000);
+		const told = {
+			entryId: 'b', processId: 'pb', availabilityZone: 'zoneA', sequence: 1, work: [], uses: [], crashes: [],
+		};
+		usage.merge({...told, usage: [[1, {customer: 5}]]});
+		usage.merge({...told, usage: [[1, {customer: 3}]]});
+		usage.merge({...told, processId: 'pb2', usage: [[1, {customer: 2}]]});
+		assert.deepEqual(usage.sum(1), {customer: 8});
+	});
+});
