Count usage by a time of day that steps of a clock do not move

Change: the time of day is read at the start and goes on by the steady clock, and the median corrects what started wrong.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -99,3 +99,4 @@
 export * from './usage/servedUsage.js';
 export * from './membership/targetCatalog.js';
 export * from './retries/crashSuspicions.js';
+export * from './usage/agreedClock.js';
--- a/packages/core/src/placement/__tests__/createTestPlacement.ts
+++ b/packages/core/src/placement/__tests__/createTestPlacement.ts
@@ -1,4 +1,6 @@
-import {type EngineRecord, STAGES, type Stage, type TargetRecord} from '../../serving/servingRecords.js';
+import {
+	type EngineRecord, STAGES, type Stage, type TargetRecord,
+} from '../../serving/servingRecords.js';
 import {type GenerationDemand} from '../placeGeneration.js';
 import {applyTargets, createPlacementState, type PlacementState} from '../placementState.js';
 
--- a/packages/core/src/placement/__tests__/placementLoad.test.ts
+++ b/packages/core/src/placement/__tests__/placementLoad.test.ts
@@ -22,7 +22,7 @@
 /** Plays long prompts at a steady rate, their shared parts spread over the targets or never kept; each keeps its slot and reading for as long as its plan says. */
 function playLongPrompts(perSecond: number, settings: PlacementSettings, isKept = true): Played {
 	const state = createTestPlacement([STAGES.prefill, STAGES.prefill, ...Array.from({length: 6}, () => STAGES.decode)]);
-	for (let part = 0; isKept && part < SHARED_PARTS; part += 1) {
+	for (let part = 0; part < (isKept ? SHARED_PARTS : 0); part += 1) {
 		state.homes.recordUse(`shared${part}`, `target${part % 8}`, 13_300);
 	}
 
@@ -99,7 +99,9 @@
 	it('fills the own zone first, then others, and refuses when all queues are full', () => {
 		const state = createPlacementState({entryId: 'entry', availabilityZone: 'zoneA'});
 		applyTargets(state, ['zoneA', 'zoneB', 'zoneC'].map(availabilityZone =>
-			createTestTarget(availabilityZone, {serviceId: 'plain', slots: 6, availabilityZone, stage: undefined})));
+			createTestTarget(availabilityZone, {
+				serviceId: 'plain', slots: 6, availabilityZone, stage: undefined,
+			})));
 		const counts: Record<string, number> = {};
 		for (let index = 0; index < 100; index += 1) {
 			const plan = placeCall({
--- a/packages/core/src/retries/__tests__/repeatBudget.test.ts
+++ b/packages/core/src/retries/__tests__/repeatBudget.test.ts
@@ -5,6 +5,10 @@
 
 const OPTIONS = {share: 0.2, allowance: 58, windowMs: 10_000} as const;
 
+function countInWindow(times: readonly number[], nowMs: number): number {
+	return times.filter(atMs => atMs > nowMs - OPTIONS.windowMs).length;
+}
+
 describe('the budget of repeats', () => {
 	it('holds over any window, summed over entries that know nothing of one another\'s repeats', () => {
 		const step = fc.record({entry: fc.integer({min: 0, max: 5}), afterMs: fc.integer({min: 0, max: 300}), isRequest: fc.boolean()});
@@ -22,8 +26,7 @@
 					repeats.push(nowMs);
 				}
 
-				const count = (times: readonly number[]) => times.filter(atMs => atMs > nowMs - OPTIONS.windowMs).length;
-				assert.ok(count(repeats) <= (OPTIONS.share * count(requests)) + OPTIONS.allowance);
+				assert.ok(countInWindow(repeats, nowMs) <= (OPTIONS.share * countInWindow(requests, nowMs)) + OPTIONS.allowance);
 			}
 		}));
 	});
--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -3,7 +3,9 @@
 import fc from 'fast-check';
 import {OUTCOMES} from '@damaskspool/shared';
 import {createTestTarget} from '../../placement/__tests__/createTestPlacement.js';
-import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect, type ServingEvent} from '../servingMessages.js';
+import {
+	ATTEMPT_RESULTS, type AttemptResult, type ServingEffect, type ServingEvent,
+} from '../servingMessages.js';
 import {reduceServing} from '../servingReducer.js';
 import {type RouteKind, type RouteRecord, type ServingConfiguration} from '../servingRecords.js';
 import {createServingState, type ServingState} from '../servingState.js';
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -262,7 +262,7 @@
 	if (!served.isCounted) {
 		served.isCounted = true;
 		if (served.customerId !== undefined) {
-			state.usage.record(served.customerId, wallMs);
+			state.usage.record(served.customerId, state.clock.toAgreed(wallMs));
 		}
 	}
 }
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -193,7 +193,7 @@
 
 function countServed(state: ServingState, served: ServingCall, wallMs: number): void {
 	if (!served.isCounted && served.customerId !== undefined) {
-		state.usage.record(served.customerId, wallMs);
+		state.usage.record(served.customerId, state.clock.toAgreed(wallMs));
 	}
 
 	served.isCounted = true;
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -38,7 +38,7 @@
 			type: 'decision.record', name: 'configuration.applied', subject: state.instanceId, detail: {version: configuration.version, held, routes: configuration.routes.length},
 		}];
 	},
-	'peer.reported'(state, {report, nowMs}) {
+	'peer.reported'(state, {report, nowMs, wallMs}) {
 		const known = state.placement.peers.get(report.entryId);
 		if (known?.processId === report.processId && report.sequence <= known.sequence) {
 			return [];
@@ -56,6 +56,7 @@
 			state.placement.homes.recordUse(partId, targetId, tokens);
 		}
 
+		state.clock.recordOffset(report.entryId, report.wallMs - wallMs);
 		state.suspicions.merge(report.crashes, nowMs);
 		state.usage.merge(report);
 		if (state.membership.peers.has(report.entryId)) {
@@ -75,6 +76,7 @@
 			if (nowMs - peer.atMs > PEER_FORGET_MS) {
 				state.placement.peers.delete(entryId);
 				state.membership.peers.delete(entryId);
+				state.clock.remove(entryId);
 				effects.push({
 					type: 'decision.record', name: 'peer.lost', subject: entryId, detail: {silentMs: Math.round(nowMs - peer.atMs)},
 				});
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -105,6 +105,8 @@
 	readonly processId: string;
 	readonly availabilityZone: string;
 	readonly sequence: number;
+	/** The sender's time of day. */
+	readonly wallMs: number;
 	readonly work: ReadonlyArray<readonly [targetId: string, running: number, readMs: number, shortReadMs: number, copyMs: number]>;
 	/** Shared parts that targets were lately given. */
 	readonly uses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
@@ -128,7 +130,7 @@
 		/** A call to the store failed, so that registrations may have lapsed. */
 		| Timed<'store.failed', {readonly detail: string}>
 		| Timed<'configuration.changed', {readonly configuration: ServingConfiguration}>
-		| Timed<'peer.reported', {readonly report: PeerReport}>
+		| Timed<'peer.reported', {readonly report: PeerReport; readonly wallMs: number}>
 		| Timed<'order.ended', {readonly targetId: string; readonly stage: Stage; readonly status: number | undefined}>
 		| Timed<'usage.sealEnded', {readonly result: {readonly kind: 'written' | 'read'; readonly version: number; readonly sealed: SealedUsage} | {readonly kind: 'failed'}}>
 		| Timed<'usage.reportEnded', {readonly windowId: number; readonly status: number | undefined}>
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -5,6 +5,7 @@
 import {DEFAULT_PLACEMENT_SETTINGS, type PlacementSettings} from '../placement/placementSettings.js';
 import {createCrashSuspicions, type CrashSuspicions} from '../retries/crashSuspicions.js';
 import {createRepeatBudget, type RepeatBudget} from '../retries/repeatBudget.js';
+import {type AgreedClock, createAgreedClock} from '../usage/agreedClock.js';
 import {createServedUsage, type ServedUsage} from '../usage/servedUsage.js';
 import {type RequestSnapshot} from '../request/requestRecord.js';
 import {type CallRecord, type PeerReport} from './servingMessages.js';
@@ -70,6 +71,7 @@
 	readonly deadlinesByRoute: Map<string, number>;
 	readonly budget: RepeatBudget;
 	readonly suspicions: CrashSuspicions;
+	readonly clock: AgreedClock;
 	readonly usage: ServedUsage;
 	readonly lease: LeaseState;
 	/** Peer entries that may bid for the duty. */
@@ -130,6 +132,7 @@
 			share: options.repeatShare, allowance: options.repeatAllowance, windowMs: options.budgetWindowMs,
 		}),
 		suspicions: createCrashSuspicions(),
+		clock: createAgreedClock(),
 		usage: createServedUsage({windowMs: options.usageWindowMs}),
 		lease: createLeaseState({
 			instanceId, processId, availabilityZone, region,
--- a/packages/core/src/usage/__tests__/servedUsage.test.ts
+++ b/packages/core/src/usage/__tests__/servedUsage.test.ts
@@ -3,7 +3,9 @@
 import fc from 'fast-check';
 import {type LeaseRecord} from '@damaskspool/shared';
 import {reduceServing} from '../../serving/servingReducer.js';
-import {type SealedUsage, type ServingEffect, type ServingEvent, type UsageCountsByCustomer} from '../../serving/servingMessages.js';
+import {
+	type SealedUsage, type ServingEffect, type ServingEvent, type UsageCountsByCustomer,
+} from '../../serving/servingMessages.js';
 import {createServingState, type ServingState} from '../../serving/servingState.js';
 
 /** The parts of the store that usage needs, with the platform's intake. */
@@ -27,48 +29,46 @@
 	});
 }
 
-/** Carries an effect out, or leaves its reply out where it is lost. */
-function carryOut(world: World, effect: ServingEffect, isReplyLost: boolean): ServingEvent | undefined {
-	const nowMs = 0;
-	switch (effect.type) {
-		case 'lease.read': {
-			return {
-				type: 'lease.readEnded', dutyName: effect.dutyName, callId: effect.callId, result: {kind: 'read', ...world.lease}, nowMs,
-			};
+type Reply = ServingEvent | undefined;
+type CarryOut<Type extends ServingEffect['type']> = (world: World, effect: Extract<ServingEffect, {type: Type}>, isReplyLost: boolean) => Reply;
+
+/** Carries effects out by their type; the reply of a write is unknown where it is lost. */
+const carryOutByType: {readonly [Type in 'lease.read' | 'lease.write' | 'usage.read' | 'usage.report' | 'usage.seal']: CarryOut<Type>} = {
+	'lease.read': (world, {dutyName, callId}) => ({
+		type: 'lease.readEnded', dutyName, callId, result: {kind: 'read', ...world.lease}, nowMs: 0,
+	}),
+	'lease.write'(world, {dutyName, callId, record, expectedVersion}, isReplyLost) {
+		const isTaken = expectedVersion === world.lease.version;
+		if (isTaken) {
+			world.lease = {version: world.lease.version + 1, record};
 		}
 
-		case 'lease.write': {
-			const isTaken = effect.expectedVersion === world.lease.version;
-			if (isTaken) {
-				world.lease = {version: world.lease.version + 1, record: effect.record};
-			}
-
-			return {
-				type: 'lease.writeEnded', dutyName: effect.dutyName, callId: effect.callId, nowMs, result: isReplyLost ? {kind: 'unknown'} : (isTaken ? {kind: 'written', version: world.lease.version} : {kind: 'conflict'}),
-			};
+		const reply = {
+			type: 'lease.writeEnded', dutyName, callId, nowMs: 0,
+		} as const;
+		if (isReplyLost) {
+			return {...reply, result: {kind: 'unknown'}};
 		}
 
-		case 'usage.read': {
-			return {type: 'usage.sealEnded', result: {kind: 'read', version: world.sealed.version, sealed: world.sealed.windows}, nowMs};
-		}
-
-		case 'usage.seal': {
-			const isTaken = effect.expectedVersion === world.sealed.version;
-			if (isTaken) {
-				world.sealed = {version: world.sealed.version + 1, windows: effect.sealed};
-			}
-
-			return {type: 'usage.sealEnded', result: isTaken && !isReplyLost ? {kind: 'written', version: world.sealed.version, sealed: effect.sealed} : {kind: 'failed'}, nowMs};
+		return {...reply, result: isTaken ? {kind: 'written', version: world.lease.version} : {kind: 'conflict'}};
+	},
+	'usage.read': world => ({type: 'usage.sealEnded', result: {kind: 'read', version: world.sealed.version, sealed: world.sealed.windows}, nowMs: 0}),
+	'usage.seal'(world, {sealed, expectedVersion}, isReplyLost) {
+		const isTaken = expectedVersion === world.sealed.version;
+		if (isTaken) {
+			world.sealed = {version: world.sealed.version + 1, windows: sealed};
 		}
 
-		case 'usage.report': {
-			return {type: 'usage.reportEnded', windowId: effect.windowId, status: recordReport(world, effect), nowMs};
-		}
+		return {type: 'usage.sealEnded', result: isTaken && !isReplyLost ? {kind: 'written', version: world.sealed.version, sealed} : {kind: 'failed'}, nowMs: 0};
+	},
+	'usage.report': (world, effect) => ({
+		type: 'usage.reportEnded', windowId: effect.windowId, status: recordReport(world, effect), nowMs: 0,
+	}),
+};
 
-		default: {
-			return undefined;
-		}
-	}
+function carryOut(world: World, effect: ServingEffect, isReplyLost: boolean): Reply {
+	const carry = (carryOutByType as Readonly<Record<string, CarryOut<ServingEffect['type']> | undefined>>)[effect.type];
+	return carry?.(world, effect, isReplyLost);
 }
 
 function recordReport(world: World, {windowId, counts, fence}: {windowId: number; counts: UsageCountsByCustomer; fence: number}): number {
@@ -89,7 +89,9 @@
 
 describe('usage of windows', () => {
 	it('is reported with one figure a window, whoever is killed, paused or loses replies', () => {
-		const step = fc.record({holder: fc.integer({min: 0, max: 2}), afterMs: fc.integer({min: 50, max: 1500}), isReplyLost: fc.boolean(), isCounted: fc.boolean()});
+		const step = fc.record({
+			holder: fc.integer({min: 0, max: 2}), afterMs: fc.integer({min: 50, max: 1500}), isReplyLost: fc.boolean(), isCounted: fc.boolean(),
+		});
 		fc.assert(fc.property(fc.array(step, {minLength: 20, maxLength: 250}), steps => {
 			const world = createWorld();
 			const holders = ['a', 'b', 'c'].map(name => createHolder(name));
@@ -118,7 +120,7 @@
 		const {usage} = createHolder('a');
 		usage.record('customer', 6000);
 		const told = {
-			entryId: 'b', processId: 'pb', availabilityZone: 'zoneA', sequence: 1, work: [], uses: [], crashes: [],
+			entryId: 'b', processId: 'pb', availabilityZone: 'zoneA', sequence: 1, wallMs: 0, work: [], uses: [], crashes: [],
 		};
 		usage.merge({...told, usage: [[1, {customer: 5}]]});
 		usage.merge({...told, usage: [[1, {customer: 3}]]});
--- a/packages/core/src/usage/servedUsageHandlers.ts
+++ b/packages/core/src/usage/servedUsageHandlers.ts
@@ -32,7 +32,7 @@
 			return [];
 		}
 
-		return [...planSeal(state, wallMs), ...planReports(state, held.epoch)];
+		return [...planSeal(state, state.clock.toAgreed(wallMs)), ...planReports(state, held.epoch)];
 	},
 	'usage.sealEnded'({usage}, {result}) {
 		usage.isSealing = false;
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -16,6 +16,8 @@
 	readonly pools: TargetPools;
 	/** Connections that this entry may hold to a target of a service. */
 	readonly countConnections: (serviceId: string) => number;
+	/** Time of day in milliseconds since 1970. */
+	readonly readWall: () => number;
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
 };
 
@@ -32,7 +34,7 @@
  * @param options - adapter, metrics, connections, and who takes the events
  * @returns the handlers, and how calls are added and ended
  */
-export function createCallEffects({ports, metrics, pools, countConnections, dispatch}: CallEffectsOptions): CallEffects {
+export function createCallEffects({ports, metrics, pools, countConnections, readWall, dispatch}: CallEffectsOptions): CallEffects {
 	const handles = new Map<number, CallHandle>();
 	const timers = new Map<number, NodeJS.Timeout>();
 
@@ -63,7 +65,7 @@
 					isResetUnderWay: pools.isResetUnderWay,
 					onBegan() {
 						dispatch({
-							type: 'attempt.began', callId, attemptId, wallMs: Date.now(),
+							type: 'attempt.began', callId, attemptId, wallMs: readWall(),
 						});
 					},
 					onReadEnded(handleId, result) {
@@ -73,7 +75,7 @@
 					},
 					onEnded(ended) {
 						dispatch({
-							type: 'attempt.ended', callId, attemptId, wallMs: Date.now(), ...ended,
+							type: 'attempt.ended', callId, attemptId, wallMs: readWall(), ...ended,
 						});
 					},
 				});
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -14,6 +14,7 @@
 import {createPeerDirectory} from './createPeerDirectory.js';
 import {createPeerLink} from './createPeerLink.js';
 import {createStoreFollower} from './createStoreFollower.js';
+import {createSteadyWall} from './createSteadyWall.js';
 import {createTargetPools} from './createTargetPools.js';
 import {type DirectSettings, directSettingsSchema} from './directSettings.js';
 
@@ -60,6 +61,7 @@
 	const {settings, ports, logger, metrics, choices = directSettingsSchema.parse({})} = options;
 	const {instanceId, availabilityZone, region} = settings;
 	const processId = randomUUID().slice(0, PROCESS_ID_LENGTH);
+	const readWall = createSteadyWall();
 	const pools = createTargetPools();
 	let isStopped = false;
 	let sequence = 0;
@@ -83,10 +85,11 @@
 			processId,
 			availabilityZone,
 			sequence,
+			wallMs: readWall(),
 			work: listWork(state),
 			uses,
 			crashes: state.suspicions.takeNews(),
-			usage: isUsageDue ? state.usage.listOwn(Date.now()) : [],
+			usage: isUsageDue ? state.usage.listOwn(state.clock.toAgreed(readWall())) : [],
 		};
 	};
 
@@ -95,7 +98,7 @@
 		port: settings.peerPorts[0],
 		createReport,
 		onReport(report) {
-			loop.dispatch({type: 'peer.reported', report});
+			loop.dispatch({type: 'peer.reported', report, wallMs: readWall()});
 		},
 		onFailure(detail) {
 			metrics.count('peer_failures');
@@ -115,6 +118,7 @@
 		metrics,
 		pools,
 		countConnections,
+		readWall,
 		dispatch(event) {
 			loop.dispatch(event);
 		},
@@ -155,7 +159,7 @@
 			const {callId} = handle;
 			calls.add(handle);
 			loop.dispatch({
-				type: 'call.arrived', callId, call, wallMs: Date.now(), waitedMs,
+				type: 'call.arrived', callId, call, wallMs: readWall(), waitedMs,
 			});
 			handle.response.on('finish', () => {
 				calls.end(callId);
@@ -203,7 +207,7 @@
 		},
 	});
 	const ticker = setInterval(() => {
-		loop.dispatch({type: 'tick', wallMs: Date.now()});
+		loop.dispatch({type: 'tick', wallMs: readWall()});
 	}, TICK_MS);
 
 	return {
--- a/packages/daemon/src/direct/peerReportForm.ts
+++ b/packages/daemon/src/direct/peerReportForm.ts
@@ -9,6 +9,7 @@
 	z.string(),
 	z.string(),
 	z.number(),
+	z.number(),
 	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.string()])),
@@ -30,6 +31,7 @@
 		report.processId,
 		report.availabilityZone,
 		report.sequence,
+		report.wallMs,
 		report.work.map(work => [...work]),
 		report.uses.map(use => [...use]),
 		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
@@ -49,8 +51,8 @@
 		return undefined;
 	}
 
-	const [entryId, processId, availabilityZone, sequence, work, uses, crashes, usage] = parsed.data;
+	const [entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage] = parsed.data;
 	return {
-		entryId, processId, availabilityZone, sequence, work, uses, crashes, usage,
+		entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage,
 	};
 }
