Log what a refusal was decided by

Cause: the line of a refused call held its code only, so that on-call engineers could not tell a full queue from a missing target. Change: expected start with its parts, limit, configuration version, known targets and peers go with it.

--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -63,7 +63,7 @@
 	const plan = handle === undefined ? planAttempt(state, served, nowMs) : planTakeOver(state, served, handle, nowMs);
 	if (plan === undefined || 'refusal' in plan) {
 		return [
-			...exhaustCall(state, served, plan?.refusal ?? ERROR_CODES.noTarget, isKnownRun, plan?.retryAfterMs),
+			...exhaustCall(state, served, plan?.refusal ?? ERROR_CODES.noTarget, isKnownRun, plan),
 			...(handle === undefined ? [] : [{type: 'handle.free', ...handle} as const]),
 		];
 	}
@@ -132,7 +132,7 @@
 	return 1 + Math.max(live, state.membership.peers.size);
 }
 
-type Refusal = {readonly refusal: ErrorCode; readonly retryAfterMs: number | undefined};
+type Refusal = {readonly refusal: ErrorCode; readonly retryAfterMs: number | undefined; readonly detail?: Readonly<Record<string, unknown>>};
 
 function planAttempt(state: ServingState, served: ServingCall, nowMs: number): AttemptPlan | Refusal | undefined {
 	const engine = state.configuration?.services.get(served.serviceId)?.engine;
@@ -174,7 +174,7 @@
 
 	const refuseAboveMs = served.route.goalMs * placementSettings.refuseAtGoals;
 	if (plan.startMs - plan.readMs > refuseAboveMs) {
-		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeReturnWait(state, served, nowMs)};
+		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeReturnWait(state, served, nowMs), detail: {...describePlan(plan), refuseAboveMs}};
 	}
 
 	served.generator = plan.reader === undefined ? undefined : plan.target;
@@ -306,7 +306,8 @@
 
 /** Ends a call that no further attempt is made for. */
 // eslint-disable-next-line max-params
-function exhaustCall(state: ServingState, served: ServingCall, code: ErrorCode, isKnownRun: boolean, retryAfterMs = DEFAULT_RETRY_AFTER_MS): readonly ServingEffect[] {
+function exhaustCall(state: ServingState, served: ServingCall, code: ErrorCode, isKnownRun: boolean, refusal?: Refusal): readonly ServingEffect[] {
+	const retryAfterMs = refusal?.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
 	const next = advanceRequest(served, {type: 'exhaust'});
 	state.calls.delete(served.callId);
 	const isNotRun = next === 'refusedNotRun' && !isKnownRun && !served.isCounted;
@@ -314,7 +315,7 @@
 		refuseCall(served, isNotRun ? code : ERROR_CODES.targetFailed, isNotRun ? OUTCOMES.refusedNotRun : OUTCOMES.refusedUnknown, isNotRun ? retryAfterMs : undefined),
 		{
 			type: 'decision.record', name: 'call.refused', subject: served.call.requestId, detail: {
-				code, isNotRun, retryAfterMs, route: served.route.name, attempts: served.attempts,
+				code, isNotRun, retryAfterMs, route: served.route.name, attempts: served.attempts, version: state.configuration?.version, targets: state.placement.targets.size, peers: state.placement.peers.size, ...refusal?.detail,
 			},
 		},
 	];
