--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -116,6 +116,17 @@
 		}));
 	});
 
+	it('takes the work of a failed call off its target once, while another call runs there', () => {
+		const state = createTestState();
+		const sends = Array.from({length: 5}, (_, callId) => findSend(reduceServing(state, createArrival(callId, 'unsafe', 0))));
+		const [first] = sends;
+		reduceServing(state, {
+			type: 'attempt.ended', callId: 0, attemptId: first!.attemptId, result: 'unknown', isStarted: false, hasRun: false, wallMs: 0, detail: '', nowMs: 5,
+		});
+		const running = [...state.placement.targets.values()].reduce((sum, {own}) => sum + own.running, 0);
+		assert.equal(running, 4);
+	});
+
 	it('ends a call at its timeout with an answer that promises nothing, and cancels its attempt', () => {
 		const state = createTestState();
 		reduceServing(state, createArrival(1, 'unsafe', 0));
