Take the work of a failed call off its target once

Cause: when an attempt ended as unknown or failed, its work was taken off the target by the end of the attempt and again by the end of the call, so the target counted as freer than it was while other calls ran there.

Change: an attempt keeps whether its work was taken off already; a second time does nothing, and no cancellation is sent for an attempt that ended. Usage is counted in one place. Fields that nobody read are gone, and the statuses that are never passed on stand in one set.

--- a/packages/core/src/placement/__tests__/createTestPlacement.ts
+++ b/packages/core/src/placement/__tests__/createTestPlacement.ts
@@ -6,7 +6,7 @@
 
 /** An engine with the figures of the users' sheets. */
 export const TEST_ENGINE: EngineRecord = {
-	memoryTokens: 610_008, bytesPerToken: 18_432, linkMbps: 180_000, stageChangeMs: 3000,
+	memoryTokens: 610_008, bytesPerToken: 18_432, linkMbps: 180_000,
 };
 
 /**
--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -115,7 +115,7 @@
 	const avoided: Candidate[] = [];
 	for (const target of state.targets.values()) {
 		if (target.record.serviceId !== demand.serviceId || target.record.isLeaving
-			|| demand.excluded.has(target.record.targetId) || target.changesStageUntilMs > nowMs) {
+			|| demand.excluded.has(target.record.targetId)) {
 			continue;
 		}
 
--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -34,8 +34,6 @@
 	failuresInRow: number;
 	/** When an answer of the target last began or ended. */
 	lastHeardAtMs: number;
-	/** Set while a stage change is expected to keep the target out of use. */
-	changesStageUntilMs: number;
 };
 
 /** What placement depends on. */
@@ -86,7 +84,7 @@
 		const known = state.targets.get(record.targetId);
 		if (known === undefined) {
 			state.targets.set(record.targetId, {
-				record, own: createTargetWork(), avoidUntilMs: 0, failuresInRow: 0, lastHeardAtMs: 0, changesStageUntilMs: 0,
+				record, own: createTargetWork(), avoidUntilMs: 0, failuresInRow: 0, lastHeardAtMs: 0,
 			});
 			continue;
 		}
@@ -97,10 +95,6 @@
 			known.avoidUntilMs = 0;
 		}
 
-		if (known.record.stage !== record.stage) {
-			known.changesStageUntilMs = 0;
-		}
-
 		known.record = record;
 	}
 }
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -74,7 +74,7 @@
 	// Taking a read prompt over is not another attempt: the read before it was not counted.
 	served.attempts += plan.isRead ? 0 : 1;
 	served.attempt = {
-		attemptId, target: plan.target, isRead: plan.isRead, counted: {...plan.counted}, sentAtMs: nowMs, silentAtMs: nowMs + SILENCE_MS + (SILENCE_FACTOR * plan.startMs), isBegun: false,
+		attemptId, target: plan.target, isRead: plan.isRead, counted: {...plan.counted}, sentAtMs: nowMs, silentAtMs: nowMs + SILENCE_MS + (SILENCE_FACTOR * plan.startMs), isBegun: false, isEnded: false,
 	};
 	plan.target.own.running += 1;
 	countWork(plan.target, plan.counted, 1);
@@ -93,7 +93,6 @@
 			handle: plan.handle,
 			fetchAddress: plan.source?.record.address,
 			isResumable: served.route.isResumable,
-			mayRepeat: served.attempts < served.route.attemptLimit,
 		},
 		{
 			type: 'decision.record',
@@ -208,7 +207,6 @@
 }
 
 /** The target chosen before the read, or where that is gone another one. */
-
 function planTakeOver(state: ServingState, served: ServingCall, handle: ReadHandle, nowMs: number): AttemptPlan | undefined {
 	const {generator} = served;
 	const isInUse = generator !== undefined && state.placement.targets.get(generator.record.targetId) === generator
@@ -259,12 +257,22 @@
 	attempt.isBegun = true;
 	releaseWork(attempt);
 	recordAnswer(attempt.target, nowMs);
-	if (!served.isCounted) {
-		served.isCounted = true;
-		if (served.customerId !== undefined) {
-			state.usage.record(served.customerId, state.clock.toAgreed(wallMs));
-		}
+	countServed(state, served, wallMs);
+}
+
+/**
+ * Counts a call as served to its customer, the first time that it is known to run.
+ *
+ * @param state - state of the entry, changed
+ * @param served - the call, changed
+ * @param wallMs - time of day of this instance
+ */
+export function countServed(state: ServingState, served: ServingCall, wallMs: number): void {
+	if (!served.isCounted && served.customerId !== undefined) {
+		state.usage.record(served.customerId, state.clock.toAgreed(wallMs));
 	}
+
+	served.isCounted = true;
 }
 
 function countWork({own}: PlacedTarget, {readMs, shortReadMs, copyMs}: CallAttempt['counted'], sign: 1 | -1): void {
@@ -282,7 +290,7 @@
 const FAULTS: ReadonlySet<AttemptResult> = new Set([ATTEMPT_RESULTS.unreached, ATTEMPT_RESULTS.unknown, ATTEMPT_RESULTS.failed]);
 
 /**
- * Takes the work of an attempt that ended off its target.
+ * Takes the work of an attempt off its target, once.
  *
  * @param state - state of the entry, changed
  * @param served - the call, changed
@@ -290,10 +298,11 @@
  */
 export function endAttemptWork(state: ServingState, served: ServingCall, {result, nowMs}: {result: AttemptResult; nowMs: number}): void {
 	const {attempt} = served;
-	if (attempt === undefined) {
+	if (attempt === undefined || attempt.isEnded) {
 		return;
 	}
 
+	attempt.isEnded = true;
 	const {own} = attempt.target;
 	own.running = Math.max(0, own.running - 1);
 	releaseWork(attempt);
@@ -330,7 +339,6 @@
  * @param retryAfterMs - when to come back, where it has not run
  * @returns the effect
  */
-
 export function refuseCall(served: ServingCall, code: ErrorCode, outcome: Outcome, retryAfterMs?: number): ServingEffect {
 	return {
 		type: 'call.refuse', callId: served.callId, code, outcome, retryAfterMs,
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -2,7 +2,7 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
 import {
-	beginAttempt, endAttemptWork, planNextAttempt, refuseCall, releaseReservation,
+	beginAttempt, countServed, endAttemptWork, planNextAttempt, refuseCall, releaseReservation,
 } from './callAttempts.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
@@ -191,14 +191,6 @@
 	};
 }
 
-function countServed(state: ServingState, served: ServingCall, wallMs: number): void {
-	if (!served.isCounted && served.customerId !== undefined) {
-		state.usage.record(served.customerId, state.clock.toAgreed(wallMs));
-	}
-
-	served.isCounted = true;
-}
-
 function endCall(state: ServingState, served: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
 	const {attempt, callId, call} = served;
 	state.calls.delete(callId);
@@ -211,7 +203,7 @@
 			outcome, route: served.route.name, target: attempt?.target.record.targetId, attempts: served.attempts, tookMs: Math.round(nowMs - served.arrivedAtMs), beganMs: served.beganAtMs === undefined ? undefined : Math.round(served.beganAtMs - served.arrivedAtMs), plan: served.plan,
 		},
 	}];
-	if (attempt !== undefined && outcome !== 'answered') {
+	if (attempt !== undefined && !attempt.isEnded) {
 		endAttemptWork(state, served, {result: 'cancelled', nowMs});
 		effects.push({type: 'attempt.cancel', callId, attemptId: attempt.attemptId});
 	}
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -59,8 +59,6 @@
 	/** Target from which shared parts are fetched. */
 	readonly fetchAddress: string | undefined;
 	readonly isResumable: boolean;
-	/** Whether a failure of the target may still be answered by another attempt. */
-	readonly mayRepeat: boolean;
 };
 
 /** Ends a call with an answer of the entry's own. */
--- a/packages/core/src/serving/servingRecords.ts
+++ b/packages/core/src/serving/servingRecords.ts
@@ -73,8 +73,6 @@
 	readonly bytesPerToken: number;
 	/** Link over which KV cache is copied between targets. */
 	readonly linkMbps: number;
-	/** Time that a target is out of use while it changes its stage. */
-	readonly stageChangeMs: number;
 };
 
 /** A service of the configuration. */
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -22,6 +22,8 @@
 	/** Time from which the target's silence counts against it. */
 	silentAtMs: number;
 	isBegun: boolean;
+	/** Its work is off the target: set once its end is known, or once it was given up. */
+	isEnded: boolean;
 };
 
 /** A call under way. */
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -37,8 +37,10 @@
 
 /** First status of a failure of the target's own making. */
 const FIRST_FAILURE_STATUS = 500;
-/** Statuses that promise that nothing ran; without the target's proof they may not be passed on. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 429]);
+/** Statuses below those of failures by which a target refuses a request. */
+const REFUSING_STATUSES: ReadonlySet<number> = new Set([408, 429]);
+/** Statuses that callers read as a promise that nothing ran: never passed on from a target in its own name. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([...REFUSING_STATUSES, 503]);
 const EVENT_STREAM = 'text/event-stream';
 /** Answers up to this size are passed on only once they are whole, so that a broken one may still be repeated. */
 const HELD_BYTES = 262_144;
@@ -122,7 +124,7 @@
 			take: chunk => chunks.push(chunk) > 0,
 			end() {
 				handle.heldAnswer = {
-					attemptId: send.attemptId, status, headers: head.headers, body: Buffer.concat(chunks), isSigned: head.isSigned && !PROMISING_STATUSES.has(status) && status !== 503,
+					attemptId: send.attemptId, status, headers: head.headers, body: Buffer.concat(chunks), isSigned: head.isSigned && !PROMISING_STATUSES.has(status),
 				};
 				finish(ATTEMPT_RESULTS.failed, `status ${status}`, true);
 			},
@@ -210,7 +212,7 @@
 			return createReadTaker(status, head);
 		}
 
-		if (status >= FIRST_FAILURE_STATUS || PROMISING_STATUSES.has(status)) {
+		if (status >= FIRST_FAILURE_STATUS || REFUSING_STATUSES.has(status)) {
 			return createFailureTaker(status, head);
 		}
 
