Shorten a target's queue once by the age of what peers told

Each peer's part of a target's queue was shortened by the age of its report; with ten peers a queue was taken to shrink ten times as fast as one target reads.

Change: the queue is the sum of what peers told, shortened once by its mean age.

--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -99,16 +99,35 @@
 	}
 }
 
+/**
+ * Tells whether a peer was heard of lately, directly or by way of others.
+ *
+ * @param state - placement state
+ * @param entryId - the peer
+ * @param nowMs - present time
+ * @returns whether its last report is fresh
+ */
+export function isLivePeer({peers}: PlacementState, entryId: string, nowMs: number): boolean {
+	const peer = peers.get(entryId);
+	return peer !== undefined && nowMs - peer.atMs <= PEER_SILENCE_MS;
+}
+
+/** Reading and copying of a target's work, each a queue that shrinks by a millisecond in a millisecond. */
+const QUEUES = ['readMs', 'shortReadMs', 'copyMs'] as const;
+
 /**
  * Adds up the work of this entry and its peers at a target.
  *
  * @param state - placement state
  * @param target - the target
  * @param nowMs - present time
- * @returns requests and reading time; a peer's reading time is shortened by the age of its message
+ * @returns requests, and the length of each queue. A target works through one
+ * queue for all entries, so what peers told is shortened once by its mean age,
+ * and not each peer's part by its own.
  */
 export function sumWork(state: PlacementState, target: PlacedTarget, nowMs: number): TargetWork {
-	const sum = {...target.own};
+	const told = createTargetWork();
+	const aged = createTargetWork();
 	for (const peer of state.peers.values()) {
 		const work = peer.workByTarget.get(target.record.targetId);
 		const ageMs = nowMs - peer.atMs;
@@ -116,10 +135,17 @@
 			continue;
 		}
 
-		sum.running += work.running;
-		sum.readMs += Math.max(0, work.readMs - ageMs);
-		sum.shortReadMs += Math.max(0, work.shortReadMs - ageMs);
-		sum.copyMs += Math.max(0, work.copyMs - ageMs);
+		told.running += work.running;
+		for (const queue of QUEUES) {
+			told[queue] += work[queue];
+			aged[queue] += work[queue] * ageMs;
+		}
+	}
+
+	const sum = {...target.own};
+	sum.running += told.running;
+	for (const queue of QUEUES) {
+		sum[queue] += told[queue] === 0 ? 0 : Math.max(0, told[queue] - (aged[queue] / told[queue]));
 	}
 
 	return sum;
