Pass reports on by one peer a zone, and tell usage by changes

Every entry also read the lease each second, as ranks were never computed in the direct entry.

Change: a report goes to the own zone, and to one live peer of each other zone in turn, which passes it on with its own next report. Usage is told by changes, whole each 0.9 s. Reports that overtook one another keep their counts and news. Ranks of duties are computed among live peers.

Tests: routes by property, usage by changes, reads of the lease among many peers, overtaken reports.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -97,6 +97,7 @@
 export * from './serving/servingReducer.js';
 export * from './serving/servingState.js';
 export * from './usage/servedUsage.js';
+export * from './membership/reportRoutes.js';
 export * from './membership/targetCatalog.js';
 export * from './retries/crashSuspicions.js';
 export * from './usage/agreedClock.js';
--- a/packages/core/src/lease/leaseHandlers.ts
+++ b/packages/core/src/lease/leaseHandlers.ts
@@ -33,17 +33,7 @@
 /** Handlers by which an entry takes, keeps and gives up leases. */
 export const leaseHandlers: HandlerTable<LeaseHost, LeaseHostEvent, LeaseHostEffect> = {
 	'instances.listed'({lease, membership}, {nowMs}) {
-		const peers = [...membership.peers.values()];
-		for (const duty of lease.duties.values()) {
-			const rivals = peers.filter(peer => isInScope(duty.scope, peer));
-			const wasCandidate = duty.rank < CANDIDATE_COUNT;
-			const own = computeRankHash(duty.name, lease.instanceId);
-			duty.rank = rivals.filter(({instanceId}) => computeRankHash(duty.name, instanceId) < own).length;
-			if (!wasCandidate && duty.rank < CANDIDATE_COUNT) {
-				duty.nextCallAtMs = nowMs;
-			}
-		}
-
+		rankDuties(lease, [...membership.peers.values()], nowMs);
 		return [];
 	},
 
@@ -89,6 +79,25 @@
 	},
 };
 
+/**
+ * Ranks an entry among those that may hold its duties.
+ *
+ * @param lease - leases of the entry, changed
+ * @param peers - the others
+ * @param nowMs - present time: one that comes to be among the first reads the lease at once
+ */
+export function rankDuties(lease: LeaseState, peers: readonly LeaseRival[], nowMs: number): void {
+	for (const duty of lease.duties.values()) {
+		const rivals = peers.filter(peer => isInScope(duty.scope, peer));
+		const wasCandidate = duty.rank < CANDIDATE_COUNT;
+		const own = computeRankHash(duty.name, lease.instanceId);
+		duty.rank = rivals.filter(({instanceId}) => computeRankHash(duty.name, instanceId) < own).length;
+		if (!wasCandidate && duty.rank < CANDIDATE_COUNT) {
+			duty.nextCallAtMs = nowMs;
+		}
+	}
+}
+
 function advanceDuty(lease: LeaseState, duty: DutyState, nowMs: number): readonly LeaseHostEffect[] {
 	const lapsed = expireDuty(lease, duty, nowMs);
 	if (duty.callId !== undefined || nowMs < duty.nextCallAtMs) {
--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -4,7 +4,7 @@
 import {OUTCOMES} from '@damaskspool/shared';
 import {createTestTarget} from '../../placement/__tests__/createTestPlacement.js';
 import {
-	ATTEMPT_RESULTS, type AttemptResult, type ServingEffect, type ServingEvent,
+	ATTEMPT_RESULTS, type AttemptResult, type PeerReport, type ServingEffect, type ServingEvent,
 } from '../servingMessages.js';
 import {reduceServing} from '../servingReducer.js';
 import {type RouteKind, type RouteRecord, type ServingConfiguration} from '../servingRecords.js';
@@ -55,6 +55,19 @@
 const findSend = (effects: readonly ServingEffect[]) => effects.find(effect => effect.type === 'attempt.send');
 const findRefusal = (effects: readonly ServingEffect[]) => effects.find(effect => effect.type === 'call.refuse');
 
+/**
+ * Builds a report of a peer that has nothing under way.
+ *
+ * @param entryId - the peer
+ * @param sequence - number of the report
+ * @returns the report
+ */
+function createTestReport(entryId: string, sequence: number): PeerReport {
+	return {
+		entryId, processId: `${entryId}.process`, availabilityZone: 'zoneA', sequence, wallMs: 0, work: [], uses: [], crashes: [], usage: [],
+	};
+}
+
 describe('the reducer of an entry that sends to targets directly', () => {
 	it('runs what may not be repeated once at most, and says "not run" only where that is proved', () => {
 		const result = fc.constantFrom<AttemptResult>(ATTEMPT_RESULTS.notRun, ATTEMPT_RESULTS.unreached, ATTEMPT_RESULTS.unknown, ATTEMPT_RESULTS.failed);
@@ -148,4 +161,52 @@
 		});
 		assert.equal(findRefusal(reduceServing(state, createArrival(1, 'safe', 0)))?.code, 'not_ready');
 	});
+
+	it('reads the lease of the duty once a second only while it is among the first live entries', () => {
+		const countReads = (livePeers: number) => {
+			const state = createTestState();
+			let reads = 0;
+			for (let nowMs = 0; nowMs <= 20_000; nowMs += 250) {
+				for (let peer = 0; peer < livePeers; peer += 1) {
+					reduceServing(state, {
+						type: 'peer.reported', report: createTestReport(`peer${peer}`, nowMs), wallMs: nowMs, nowMs,
+					});
+				}
+
+				for (const effect of reduceServing(state, {type: 'tick', wallMs: nowMs, nowMs})) {
+					if (effect.type === 'lease.read') {
+						reads += 1;
+						reduceServing(state, {
+							type: 'lease.readEnded', dutyName: effect.dutyName, callId: effect.callId, nowMs, result: {
+								kind: 'read', version: 1 + Math.floor(nowMs / 1000), record: {
+									holder: 'other', epoch: 1, nonce: String(nowMs), durationMs: 3000,
+								},
+							},
+						});
+					}
+				}
+			}
+
+			return reads;
+		};
+
+		assert.ok(countReads(0) >= 19, `alone ${countReads(0)}`);
+		assert.ok(countReads(40) <= 2, `among many ${countReads(40)}`);
+	});
+
+	it('takes news and counts from a report that another has overtaken, but not its work', () => {
+		const state = createTestState();
+		reduceServing(state, {
+			type: 'peer.reported', report: {...createTestReport('peer', 2), work: [['target0', 1, 0, 0, 0]]}, wallMs: 0, nowMs: 10,
+		});
+		const late = {
+			...createTestReport('peer', 1), work: [['target0', 7, 0, 0, 0]] as const, uses: [['part', 'target0', 2000]] as const, usage: [[0, {customer: 3}]] as const,
+		};
+		reduceServing(state, {
+			type: 'peer.reported', report: late, wallMs: 0, nowMs: 20,
+		});
+		assert.equal(state.placement.peers.get('peer')?.workByTarget.get('target0')?.running, 1);
+		assert.ok(state.placement.homes.has('part', 'target0'));
+		assert.deepEqual(state.usage.sum(0), {customer: 3});
+	});
 });
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -1,6 +1,7 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
+import {rankDuties} from '../lease/leaseHandlers.js';
 import {applyRegistrations, expireRegistrations, listTargets} from '../membership/targetCatalog.js';
-import {applyTargets, PEER_SILENCE_MS} from '../placement/placementState.js';
+import {applyTargets, isLivePeer, PEER_SILENCE_MS} from '../placement/placementState.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingState} from './servingState.js';
 
@@ -39,6 +40,13 @@
 		}];
 	},
 	'peer.reported'(state, {report, nowMs, wallMs}) {
+		// Counts and news hold whatever their order: reports that others passed on may overtake one another.
+		for (const [partId, targetId, tokens] of report.uses) {
+			state.placement.homes.recordUse(partId, targetId, tokens);
+		}
+
+		state.suspicions.merge(report.crashes, nowMs);
+		state.usage.merge(report);
 		const known = state.placement.peers.get(report.entryId);
 		if (known?.processId === report.processId && report.sequence <= known.sequence) {
 			return [];
@@ -52,13 +60,7 @@
 				running, readMs, shortReadMs, copyMs,
 			}])),
 		});
-		for (const [partId, targetId, tokens] of report.uses) {
-			state.placement.homes.recordUse(partId, targetId, tokens);
-		}
-
 		state.clock.recordOffset(report.entryId, report.wallMs - wallMs);
-		state.suspicions.merge(report.crashes, nowMs);
-		state.usage.merge(report);
 		if (state.membership.peers.has(report.entryId)) {
 			return [];
 		}
@@ -72,6 +74,8 @@
 	},
 	tick(state, {nowMs}) {
 		const effects: ServingEffect[] = expireRegistrations(state.catalog, nowMs) ? [...applyCatalog(state)] : [];
+		// Only the first few live entries read the lease often, which spares the store.
+		rankDuties(state.lease, [...state.membership.peers.values()].filter(({instanceId}) => isLivePeer(state.placement, instanceId, nowMs)), nowMs);
 		for (const [entryId, peer] of state.placement.peers) {
 			if (nowMs - peer.atMs > PEER_FORGET_MS) {
 				state.placement.peers.delete(entryId);
--- a/packages/core/src/usage/__tests__/servedUsage.test.ts
+++ b/packages/core/src/usage/__tests__/servedUsage.test.ts
@@ -152,4 +152,15 @@
 		usage.merge({...told, processId: 'pb2', usage: [[1, {customer: 2}]]});
 		assert.deepEqual(usage.sum(1), {customer: 8});
 	});
+
+	it('tells each change once and everything on demand, so that a lost message is made up for', () => {
+		const {usage} = createHolder('a');
+		usage.record('first', 6000);
+		usage.record('second', 6000);
+		assert.deepEqual(usage.takeOwn(6100, false), [[1, {first: 1, second: 1}]]);
+		usage.record('second', 6200);
+		assert.deepEqual(usage.takeOwn(6300, false), [[1, {second: 2}]]);
+		assert.deepEqual(usage.takeOwn(6400, false), []);
+		assert.deepEqual(usage.takeOwn(11_000, true), [[1, {first: 1, second: 2}]]);
+	});
 });
--- a/packages/core/src/usage/servedUsage.ts
+++ b/packages/core/src/usage/servedUsage.ts
@@ -7,8 +7,8 @@
 	readonly record: (customerId: string, wallMs: number) => void;
 	/** Takes over what a peer has counted so far. */
 	readonly merge: (report: PeerReport) => void;
-	/** Counts of this entry's latest windows, to be told to peers. */
-	readonly listOwn: (wallMs: number) => PeerReport['usage'];
+	/** Counts of this entry's latest windows, to be told to peers: those that changed since the last time, or all. */
+	readonly takeOwn: (wallMs: number, isWhole: boolean) => PeerReport['usage'];
 	/** Adds up a window over all entries that were ever heard of. */
 	readonly sum: (windowId: number) => UsageCountsByCustomer;
 	/** Windows with any count, oldest first. */
@@ -24,7 +24,7 @@
 /** Windows that are kept: enough for reports that wait out a long outage. */
 const KEPT_WINDOWS = 24;
 /** Windows whose counts are told to peers: the present one and those that may not be sealed yet. */
-const TOLD_WINDOWS = 3;
+const TOLD_WINDOWS = 2;
 
 /**
  * Creates empty counts.
@@ -36,6 +36,8 @@
 	/** Counts by window, then by process, then by customer. */
 	const windows = new Map<number, Map<string, Record<string, number>>>();
 	const ownProcess = '';
+	/** Customers by window whose own counts changed since they were last told. */
+	const untold = new Map<number, Set<string>>();
 
 	const findCounts = (windowId: number) => {
 		let counts = windows.get(windowId);
@@ -57,10 +59,13 @@
 		isSealing: false,
 		reporting: new Set(),
 		record(customerId, wallMs) {
-			const counts = findCounts(Math.floor(wallMs / windowMs));
+			const windowId = Math.floor(wallMs / windowMs);
+			const counts = findCounts(windowId);
 			const own = counts.get(ownProcess) ?? {};
 			counts.set(ownProcess, own);
 			own[customerId] = (own[customerId] ?? 0) + 1;
+			const changed = untold.get(windowId) ?? new Set();
+			untold.set(windowId, changed.add(customerId));
 		},
 		merge({processId, usage}) {
 			for (const [windowId, told] of usage) {
@@ -72,16 +77,18 @@
 				}
 			}
 		},
-		listOwn(wallMs) {
+		takeOwn(wallMs, isWhole) {
 			const present = Math.floor(wallMs / windowMs);
 			const told: Array<PeerReport['usage'][number]> = [];
 			for (let windowId = present - TOLD_WINDOWS + 1; windowId <= present; windowId += 1) {
-				const own = windows.get(windowId)?.get(ownProcess);
-				if (own !== undefined) {
-					told.push([windowId, {...own}]);
+				const own = windows.get(windowId)?.get(ownProcess) ?? {};
+				const customers = isWhole ? Object.keys(own) : [...untold.get(windowId) ?? []];
+				if (customers.length > 0) {
+					told.push([windowId, Object.fromEntries(customers.map(customerId => [customerId, own[customerId] ?? 0]))]);
 				}
 			}
 
+			untold.clear();
 			return told;
 		},
 		sum(windowId) {
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {
-	createServingState, type PeerReport, reduceServing, type ServingEffect, type ServingEvent, type ServingState,
+	createServingState, reduceServing, type ServingEffect, type ServingEvent, type ServingState,
 } from '@damaskspool/core';
 import {
 	createLoop, type DeploymentPorts, type DirectEntrySettings, type Logger, type Metrics,
@@ -11,8 +11,9 @@
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer} from './createCallerServer.js';
 import {createDutyEffects} from './createDutyEffects.js';
-import {createPeerDirectory} from './createPeerDirectory.js';
+import {createPeerDirectory, type PeerAddress} from './createPeerDirectory.js';
 import {createPeerLink} from './createPeerLink.js';
+import {createPeerReporting} from './createPeerReporting.js';
 import {createStoreFollower} from './createStoreFollower.js';
 import {createSteadyWall} from './createSteadyWall.js';
 import {createTargetPools} from './createTargetPools.js';
@@ -43,8 +44,6 @@
 const PROCESS_ID_LENGTH = 8;
 /** Part of the grace period that is left for the end of the process. */
 const END_RESERVE_MS = 700;
-/** Time between reports that carry usage: what a killed entry counted since its last one is lost, which must stay far below the tolerance of a window. */
-const USAGE_INTERVAL_MS = 250;
 /** Connections of one entry to one target where the configuration does not bound them. */
 const DEFAULT_CONNECTIONS = 24;
 /** Part of a target's connections that entries share; the rest is for entries that come meanwhile. */
@@ -64,39 +63,20 @@
 	const readWall = createSteadyWall();
 	const pools = createTargetPools();
 	let isStopped = false;
-	let sequence = 0;
-	let usageToldAtMs = 0;
+	let addresses: ReadonlyMap<string, PeerAddress> = new Map();
 
 	const state = createServingState({
 		...settings, instanceId, processId, availabilityZone, region, prefillTargets: choices.prefillTargets, placementSettings: choices.placement,
 	});
 
-	const createReport = (): PeerReport => {
-		sequence += 1;
-		const uses = state.untoldUses;
-		const isUsageDue = state.isStopping || performance.now() - usageToldAtMs >= USAGE_INTERVAL_MS;
-		if (isUsageDue) {
-			usageToldAtMs = performance.now();
-		}
-
-		state.untoldUses = [];
-		return {
-			entryId: instanceId,
-			processId,
-			availabilityZone,
-			sequence,
-			wallMs: readWall(),
-			work: listWork(state),
-			uses,
-			crashes: state.suspicions.takeNews(),
-			usage: isUsageDue ? state.usage.listOwn(state.clock.toAgreed(readWall())) : [],
-		};
-	};
-
+	const {createReport, listReceivers} = createPeerReporting({state, readWall, listAddresses: () => addresses});
 	const link = createPeerLink({
 		ip: settings.ip,
 		port: settings.peerPorts[0],
+		availabilityZone,
 		createReport,
+		listReceivers,
+		countPeers: () => addresses.size,
 		onReport(report) {
 			loop.dispatch({type: 'peer.reported', report, wallMs: readWall()});
 		},
@@ -200,9 +180,9 @@
 		isStopped: () => isStopped,
 	});
 	const directory = createPeerDirectory({
-		store: ports.store, kind: ports.objects.entries, instanceId, address: {ip: settings.ip, port: settings.peerPorts[0]}, processId, logger,
-		onPeers(addresses) {
-			link.applyPeers(addresses);
+		store: ports.store, kind: ports.objects.entries, instanceId, address: {ip: settings.ip, port: settings.peerPorts[0], availabilityZone}, processId, logger,
+		onPeers(peers) {
+			addresses = peers;
 			link.tell();
 		},
 	});
@@ -230,17 +210,6 @@
 	};
 }
 
-function listWork(state: ServingState): PeerReport['work'] {
-	const work: Array<PeerReport['work'][number]> = [];
-	for (const [targetId, {own}] of state.placement.targets) {
-		if (own.running > 0 || own.readMs > 0) {
-			work.push([targetId, own.running, Math.round(own.readMs), Math.round(own.shortReadMs), Math.round(own.copyMs)]);
-		}
-	}
-
-	return work;
-}
-
 async function listenAt(server: Server, address: string): Promise<void> {
 	const [host = '', port = ''] = address.split(':');
 	await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/src/direct/createPeerDirectory.ts
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -1,8 +1,8 @@
 import {z} from 'zod';
 import {type Logger, type MetadataStore} from '@damaskspool/runtime';
 
-/** Address at which an entry hears its peers. */
-export type PeerAddress = {readonly ip: string; readonly port: number};
+/** Where an entry hears its peers. */
+export type PeerAddress = {readonly ip: string; readonly port: number; readonly availabilityZone: string};
 
 /** Options of {@link createPeerDirectory}. */
 export type PeerDirectoryOptions = {
@@ -20,7 +20,9 @@
 /** Wait after a failed call. */
 const RETRY_MS = 700;
 
-const entrySchema = z.object({ip: z.string(), port: z.number(), processId: z.string()});
+const entrySchema = z.object({
+	ip: z.string(), port: z.number(), availabilityZone: z.string(), processId: z.string(),
+});
 
 /**
  * Registers an entry in the store and looks for its peers there.
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -1,22 +1,28 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
+import {computeReportInterval, type PeerReport} from '@damaskspool/core';
 import {JSONRPCClient, JSONRPCServer} from 'json-rpc-2.0';
-import {type PeerReport} from '@damaskspool/core';
-import {formatPeerReport, parsePeerReport} from './peerReportForm.js';
+import {type PeerAddress} from './createPeerDirectory.js';
+import {formatPeerReport, parsePeerReports, type PeerReportForm} from './peerReportForm.js';
+
+/** Receivers of one report: those of the own zone also get the reports that are to be passed on. */
+export type PeerReceivers = {readonly near: readonly PeerAddress[]; readonly far: readonly PeerAddress[]};
 
 /** Options of {@link createPeerLink}. */
 export type PeerLinkOptions = {
 	readonly ip: string;
 	readonly port: number;
+	readonly availabilityZone: string;
 	readonly createReport: () => PeerReport;
+	/** Chooses who gets the report of a number. */
+	readonly listReceivers: (turn: number) => PeerReceivers;
+	readonly countPeers: () => number;
 	readonly onReport: (report: PeerReport) => void;
 	readonly onFailure: (detail: string) => void;
 };
 
 /** Datagrams between entries. */
 export type PeerLink = {
-	/** Sets whom reports go to, by entry. */
-	readonly applyPeers: (addresses: ReadonlyMap<string, {readonly ip: string; readonly port: number}>) => void;
 	/** Sends a report soon; several calls in a short time send one. */
 	readonly tell: () => void;
 	/** Sends a report now. */
@@ -24,40 +30,60 @@
 	readonly close: () => void;
 };
 
-/** Shortest time between reports for a handful of peers: a fraction of the time that reading a prompt takes. */
-const REPORT_INTERVAL_MS = 40;
-/** Peers for which that interval holds; it grows with their number, so that an entry's messages stay bounded. */
-const PEERS_AT_INTERVAL = 6;
+/** Calls between entries: `passOn` also asks that the reports are passed on within the receiver's zone. */
+const METHODS = {take: 'work', passOn: 'workToPassOn'} as const;
 /** Longest time between reports. */
 const REPORT_LIMIT_MS = 250;
+/** Reports that wait to be passed on; more of them than entries of all zones send between two own reports. */
+const WAITING_LIMIT = 128;
+/** Reports in one datagram, which together stay under its greatest size. */
+const DATAGRAM_REPORTS = 8;
 
 /**
- * Creates the link over which an entry tells its peers of its work.
+ * Creates the link over which an entry tells its peers of its work, and passes
+ * on within its zone what entries of other zones told it.
  *
- * @param options - own address, and who makes and takes reports
+ * @param options - own address, receivers, and who makes and takes reports
  * @returns the link, listening
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-	const {ip, port, createReport, onReport, onFailure} = options;
+	const {ip, port, availabilityZone, createReport, listReceivers, countPeers, onReport, onFailure} = options;
 	const socket = createSocket('udp4');
-	let peers: ReadonlyMap<string, {readonly ip: string; readonly port: number}> = new Map();
+	let waiting: PeerReportForm[] = [];
 	let timer: NodeJS.Timeout | undefined;
 	let lastSentAtMs = 0;
+	let turn = 0;
 
-	const receiver = new JSONRPCServer();
-	receiver.addMethod('work', (parameters: unknown) => {
-		const report = parsePeerReport(parameters);
-		if (report === undefined) {
+	const tell = () => {
+		const intervalMs = computeReportInterval(countPeers());
+		timer ??= setTimeout(flush, Math.max(0, lastSentAtMs + intervalMs - performance.now()));
+	};
+
+	const takeReports = (parameters: unknown): readonly PeerReport[] => {
+		const reports = parsePeerReports(parameters);
+		if (reports === undefined) {
 			onFailure('a report of a peer is malformed');
-			return;
+			return [];
 		}
 
-		onReport(report);
+		for (const report of reports) {
+			onReport(report);
+		}
+
+		return reports;
+	};
+
+	const receiver = new JSONRPCServer();
+	receiver.addMethod(METHODS.take, takeReports);
+	receiver.addMethod(METHODS.passOn, (parameters: unknown) => {
+		const reports = takeReports(parameters);
+		waiting = [...waiting, ...reports.map(report => formatPeerReport(report))].slice(-WAITING_LIMIT);
+		tell();
 	});
-	const sender = new JSONRPCClient(message => {
+	const sender = new JSONRPCClient<readonly PeerAddress[]>((message, receivers) => {
 		const bytes = Buffer.from(JSON.stringify(message));
-		for (const peer of peers.values()) {
-			socket.send(bytes, peer.port, peer.ip, error => {
+		for (const {ip: peerIp, port: peerPort} of receivers) {
+			socket.send(bytes, peerPort, peerIp, error => {
 				if (error !== null) {
 					onFailure(error.message);
 				}
@@ -65,12 +91,20 @@
 		}
 	});
 
-	const flush = () => {
+	function flush() {
 		clearTimeout(timer);
 		timer = undefined;
 		lastSentAtMs = performance.now();
-		sender.notify('work', formatPeerReport(createReport()));
-	};
+		turn += 1;
+		const {near, far} = listReceivers(turn);
+		const own = formatPeerReport(createReport());
+		sender.notify(METHODS.passOn, [own], far);
+		const reports = [own, ...waiting];
+		waiting = [];
+		for (let from = 0; from < reports.length; from += DATAGRAM_REPORTS) {
+			sender.notify(METHODS.take, reports.slice(from, from + DATAGRAM_REPORTS), near);
+		}
+	}
 
 	socket.on('message', bytes => {
 		try {
@@ -90,13 +124,7 @@
 	}, REPORT_LIMIT_MS);
 
 	return {
-		applyPeers(addresses) {
-			peers = addresses;
-		},
-		tell() {
-			const intervalMs = REPORT_INTERVAL_MS * Math.max(1, peers.size / PEERS_AT_INTERVAL);
-			timer ??= setTimeout(flush, Math.max(0, lastSentAtMs + intervalMs - performance.now()));
-		},
+		tell,
 		flush,
 		close() {
 			clearTimeout(timer);
--- a/packages/daemon/src/direct/peerReportForm.ts
+++ b/packages/daemon/src/direct/peerReportForm.ts
@@ -40,19 +40,16 @@
 }
 
 /**
- * Reads a report that was written by position.
+ * Reads reports that were written by position.
  *
- * @param parameters - its values
- * @returns the report, or undefined where the values are none
+ * @param parameters - their values
+ * @returns the reports, or undefined where the values are none
  */
-export function parsePeerReport(parameters: unknown): PeerReport | undefined {
-	const parsed = formSchema.safeParse(parameters);
-	if (!parsed.success) {
-		return undefined;
-	}
-
-	const [entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage] = parsed.data;
-	return {
-		entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage,
-	};
+export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
+	const parsed = z.array(formSchema).safeParse(parameters);
+	return parsed.success
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, uses, crashes, usage,
+		}))
+		: undefined;
 }
