--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -1,4 +1,4 @@
-import {type ServingEffect, type ServingEvent} from '@damaskspool/core';
+import {ATTEMPT_RESULTS, type ServingEffect, type ServingEvent} from '@damaskspool/core';
 import {
 	type DeploymentPorts, type EffectHandlers, type Metrics, type UntimedEvent,
 } from '@damaskspool/runtime';
@@ -74,6 +74,10 @@
 						});
 					},
 					onEnded(ended) {
+						if (ended.result === ATTEMPT_RESULTS.unknown && !ended.isStarted) {
+							pools.recordBreak();
+						}
+
 						dispatch({
 							type: 'attempt.ended', callId, attemptId, wallMs: readWall(), ...ended,
 						});
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -7,6 +7,8 @@
 	/** Whether what is told now follows from the reset of a connection. */
 	readonly isResetUnderWay: () => boolean;
 	readonly resolve: (target: TargetRecord, connections: number) => Dispatcher;
+	/** Records that a connection broke before an answer: targets may forget those that rest. */
+	readonly recordBreak: () => void;
 	/** Closes the connections to targets that are no longer in use, once idle. */
 	readonly retain: (targetIds: ReadonlySet<string>) => void;
 	readonly close: () => Promise<void>;
@@ -14,8 +16,12 @@
 
 /** Time to connect: many round trips, and well under the shortest goal that a second attempt can still meet. */
 const CONNECT_TIMEOUT_MS = 400;
-/** Idle time after which a connection is closed, whatever the target tells: targets may forget one that rested for 300 ms, and reset what is sent on it next. */
-const IDLE_TIMEOUT_MS = 220;
+/** Idle time after which a connection to an engine is closed; most of what it carries may be sent again. */
+const IDLE_TIMEOUT_MS = 2000;
+/** Idle time where what is sent may not be repeated, and after a break: targets may forget a connection that rested for 300 ms, and reset what is sent on it next. */
+const CAUTIOUS_IDLE_MS = 220;
+/** Time after a break in which no connection rests longer than that; breaks of this kind come in spells of several seconds. */
+const CAUTION_MS = 20_000;
 
 /**
  * Creates an empty set of pools.
@@ -24,7 +30,8 @@
  */
 export function createTargetPools(): TargetPools {
 	const resets = createResetWatch({timeoutMs: CONNECT_TIMEOUT_MS});
-	const pools = new Map<string, {address: string; pool: Pool; connections: number}>();
+	const pools = new Map<string, {address: string; pool: Pool; connections: number; idleMs: number}>();
+	let cautiousUntilMs = 0;
 	const release = (pool: Pool) => {
 		// Requests under way end first; a failure to close means that the sockets are gone already.
 		pool.close().catch(async () => pool.destroy());
@@ -34,7 +41,9 @@
 		isResetUnderWay: resets.isResetUnderWay,
 		resolve(target, connections) {
 			const known = pools.get(target.targetId);
-			if (known?.address === target.address && known.connections === connections) {
+			const isPlain = target.stage === undefined;
+			const idleMs = isPlain || performance.now() < cautiousUntilMs ? CAUTIOUS_IDLE_MS : IDLE_TIMEOUT_MS;
+			if (known?.address === target.address && known.connections === connections && known.idleMs === idleMs) {
 				return known.pool;
 			}
 
@@ -46,12 +55,17 @@
 				connections,
 				pipelining: 1,
 				connect: resets.connect,
-				keepAliveTimeout: IDLE_TIMEOUT_MS,
-				keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+				keepAliveTimeout: idleMs,
+				keepAliveMaxTimeout: idleMs,
+			});
+			pools.set(target.targetId, {
+				address: target.address, pool, connections, idleMs,
 			});
-			pools.set(target.targetId, {address: target.address, pool, connections});
 			return pool;
 		},
+		recordBreak() {
+			cautiousUntilMs = performance.now() + CAUTION_MS;
+		},
 		retain(targetIds) {
 			for (const [targetId, {pool}] of pools) {
 				if (!targetIds.has(targetId)) {
--- /dev/null
+++ b/packages/runtime/src/__tests__/createLineWriter.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {type Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import {createLineWriter, type LineWriterOptions} from '../createLineWriter.js';
+
+type Done = (error: null, taken: number) => void;
+
+/** A reader that takes bytes only when it is told to. */
+function createTestReader(options: LineWriterOptions = {}) {
+	const read: string[] = [];
+	const pending: Array<() => void> = [];
+	let nowMs = 0;
+	const writer = createLineWriter({
+		gatherMs: 0,
+		readClock: () => nowMs,
+		writeBytes(_fd: number, bytes: Buffer, done: Done) {
+			pending.push(() => {
+				read.push(bytes.toString());
+				done(null, bytes.length);
+			});
+		},
+		...options,
+	});
+	return {
+		writer,
+		read() {
+			while (pending.length > 0) {
+				pending.shift()!();
+			}
+
+			return read.join('').split('\n').filter(line => line !== '');
+		},
+		pass(forMs: number) {
+			nowMs += forMs;
+		},
+	};
+}
+
+describe('createLineWriter', () => {
+	it('writes lines in their order', () => {
+		const {writer, read} = createTestReader();
+		writer.write('one');
+		writer.write('two');
+		assert.deepEqual(read(), ['one', 'two']);
+	});
+
+	it('bounds the lines of a second, and says how many were left out', () => {
+		let dropped = 0;
+		const {writer, read, pass} = createTestReader({
+			linesPerSecond: 10,
+			onDropped(count) {
+				dropped += count;
+			},
+		});
+		for (let line = 0; line < 100; line += 1) {
+			writer.write(`line ${line}`);
+		}
+
+		pass(1000);
+		writer.write('later');
+		const seen = read();
+		assert.equal(seen.length, 22);
+		assert.match(seen[20]!, /"log\.dropped","context":\{"lines":80\}/v);
+		assert.equal(seen[21], 'later');
+		assert.equal(dropped, 80);
+	});
+
+	it('keeps lines that explain a failure while those of routine work are left out', () => {
+		const {writer, read} = createTestReader({linesPerSecond: 10, isRoutine: line => line.startsWith('routine')});
+		for (let line = 0; line < 100; line += 1) {
+			writer.write('routine');
+		}
+
+		writer.write('refused');
+		assert.equal(read().at(-1), 'refused');
+	});
+
+	it('holds a bounded number of characters for a reader that takes nothing', () => {
+		const {writer, read} = createTestReader({linesPerSecond: 1_000_000});
+		for (let line = 0; line < 10_000; line += 1) {
+			writer.write('x'.repeat(1000));
+		}
+
+		assert.ok(read().length < 600);
+	});
+});
--- a/packages/runtime/src/createLogger.ts
+++ b/packages/runtime/src/createLogger.ts
@@ -1,6 +1,6 @@
 // Roarr reads this variable once, when it is imported.
 process.env.ROARR_LOG ??= 'true';
-const {Roarr} = await import('roarr');
+const {Roarr, ROARR} = await import('roarr');
 
 /** Writes one JSON line a call to standard output. Context must never hold an API key. */
 export type Logger = {
@@ -26,6 +26,15 @@
 	readonly level?: LogLevel;
 };
 
+/**
+ * Sets where the lines of all loggers of this process go.
+ *
+ * @param write - takes a line without its end
+ */
+export function setLogWriter(write: (line: string) => void): void {
+	ROARR.write = write;
+}
+
 /**
  * Creates the logger of a process.
  *
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from './createLineWriter.js';
 export * from './createLogger.js';
 export * from './createLoop.js';
 export * from './createMetrics.js';
