--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -73,7 +73,6 @@
 	const link = createPeerLink({
 		ip: settings.ip,
 		port: settings.peerPorts[0],
-		availabilityZone,
 		createReport,
 		listReceivers,
 		countPeers: () => addresses.size,
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -12,7 +12,6 @@
 export type PeerLinkOptions = {
 	readonly ip: string;
 	readonly port: number;
-	readonly availabilityZone: string;
 	readonly createReport: () => PeerReport;
 	/** Chooses who gets the report of a number. */
 	readonly listReceivers: (turn: number) => PeerReceivers;
@@ -47,7 +46,7 @@
  * @returns the link, listening
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-	const {ip, port, availabilityZone, createReport, listReceivers, countPeers, onReport, onFailure} = options;
+	const {ip, port, createReport, listReceivers, countPeers, onReport, onFailure} = options;
 	const socket = createSocket('udp4');
 	let waiting: PeerReportForm[] = [];
 	let timer: NodeJS.Timeout | undefined;
