--- a/packages/bench/src/experiments/routing.ts
+++ b/packages/bench/src/experiments/routing.ts
@@ -6,7 +6,7 @@
 import Table from 'cli-table3';
 import {build} from 'hdr-histogram-js';
 import {createRandom} from '../load/createTraffic.js';
-import {type Experiment} from '../run-bench.js';
+import {type Experiment} from './experiment.js';
 
 const TARGET_COUNTS = [60, 300, 3000];
 const MODELS = 12;
--- a/packages/bench/src/experiments/shift.ts
+++ b/packages/bench/src/experiments/shift.ts
@@ -3,7 +3,7 @@
 import Table from 'cli-table3';
 import {Cli, Command, Option} from 'clipanion';
 import {mean, standardDeviation} from 'simple-statistics';
-import {type Experiment} from '../run-bench.js';
+import {type Experiment} from './experiment.js';
 import {TRACES} from './shift/createShiftTraffic.js';
 import {plotShift} from './shift/plotShift.js';
 import {runChildren, type ShiftResult} from './shift/runChild.js';
--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -1,8 +1,6 @@
 /** Program of `npm run bench`: runs one experiment by name. */
 import process from 'node:process';
-
-/** An experiment: takes its own arguments and returns the exit code. */
-export type Experiment = (argv: readonly string[]) => Promise<number>;
+import {type Experiment} from './experiments/experiment.js';
 
 /** Experiments by name, loaded when they are run. */
 const EXPERIMENTS: Readonly<Record<string, () => Promise<Experiment>>> = {
--- a/packages/core/src/planning/demandHandlers.ts
+++ b/packages/core/src/planning/demandHandlers.ts
@@ -11,27 +11,6 @@
 /** Time over which work is counted before it enters the averages. */
 const SAMPLE_MS = 5 * SECOND_MS;
 
-/** Work totals of a target when they were last read. */
-export type CountedTotals = {
-	readonly prefillTokensTotal: number;
-	readonly generatedTokensTotal: number;
-};
-
-/** What an entry keeps to measure the demand of its availability zone. */
-export type DemandState = {
-	readonly counted: Map<string, CountedTotals>;
-	sampledAtMs: number | undefined;
-};
-
-/**
- * Creates the state of an entry that has measured nothing.
- *
- * @returns the state
- */
-export function createDemandState(): DemandState {
-	return {counted: new Map(), sampledAtMs: undefined};
-}
-
 /** Handlers by which an entry measures the demand of its zone from the work totals of load reports. */
 export const demandHandlers: HandlerTable<EntryState, EntryEvent, EntryEffect> = {
 	tick(state, {nowMs}) {
--- a/packages/core/src/reducer/entryState.ts
+++ b/packages/core/src/reducer/entryState.ts
@@ -9,10 +9,10 @@
 import {type PlanZone} from '../planning/zonePlan.js';
 import {type RequestRecord} from '../request/requestRecord.js';
 import {createRetryState, type RetryState} from '../retries/retryState.js';
-import {type RoutingPolicyName} from '../routing/routingPolicies.js';
+import {type RoutingPolicyName} from '../routing/routingPolicyNames.js';
 import {createEntryUsageState, type EntryUsageState} from '../usage/entryUsage.js';
 import {createUsageSealerState, type UsageSealerState} from '../usage/usageSealerState.js';
-import {createDemandState, type DemandState} from '../planning/demandHandlers.js';
+import {createDemandState, type DemandState} from '../planning/demandState.js';
 import {createRoutingState, type RoutingState} from '../routing/routingState.js';
 
 /** Length of a usage window where the settings do not say. */
--- a/packages/core/src/routing/__tests__/chooseTarget.test.ts
+++ b/packages/core/src/routing/__tests__/chooseTarget.test.ts
@@ -3,7 +3,7 @@
 import {type TargetState} from '@damaskspool/shared';
 import fc from 'fast-check';
 import {chooseTarget, recordChoice} from '../chooseTarget.js';
-import {ROUTING_POLICY_NAMES} from '../routingPolicies.js';
+import {ROUTING_POLICY_NAMES} from '../routingPolicyNames.js';
 import {createRoutingState} from '../routingState.js';
 import {selectSubset, SUBSET_SIZE} from '../selectSubset.js';
 import {
--- a/packages/core/src/routing/routingPolicies.ts
+++ b/packages/core/src/routing/routingPolicies.ts
@@ -1,6 +1,7 @@
 import {type TargetView} from '../membership/membershipState.js';
 import {computeExpectedTime, type ExpectedTimeOptions} from './expectedTime.js';
 import {computeRank, hashIdentifier} from './rendezvous.js';
+import {type RoutingPolicyName} from './routingPolicyNames.js';
 import {findOwnLoad, type RoutingState} from './routingState.js';
 import {type RoutingDemand} from './routingDemand.js';
 
@@ -37,13 +38,7 @@
 		const inRole = eligible.filter(target => target.load?.role === role);
 		return findLowest(inRole.length > 0 ? inRole : eligible, target => findOwnLoad(routing, target.targetId).running);
 	},
-} as const satisfies Readonly<Record<string, RoutingPolicy>>;
-
-/** Name of a policy. */
-export type RoutingPolicyName = keyof typeof ROUTING_POLICIES;
-
-/** Names of all policies, for settings. */
-export const ROUTING_POLICY_NAMES = Object.keys(ROUTING_POLICIES) as [RoutingPolicyName, ...RoutingPolicyName[]];
+} as const satisfies Readonly<Record<RoutingPolicyName, RoutingPolicy>>;
 
 function chooseByExpectedTime(options: PolicyOptions, flags: ExpectedTimeFlags): TargetView {
 	const {routing, eligible, demand, availabilityZone, nowMs} = options;
--- a/packages/core/src/routing/routingState.ts
+++ b/packages/core/src/routing/routingState.ts
@@ -1,6 +1,6 @@
 import {type PrefixIndex} from './prefixIndex.js';
 import {hashIdentifier} from './rendezvous.js';
-import {type RoutingPolicyName} from './routingPolicies.js';
+import {type RoutingPolicyName} from './routingPolicyNames.js';
 
 /** One attempt as the entry that sent it counts it. */
 export type SentAttempt = {
