--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -15,6 +15,10 @@
 		| {readonly kind: 'loseRequests'}
 	/** Swallows what the server sends. */
 		| {readonly kind: 'loseReplies'}
+	/** Swallows everything, ends of connections too. */
+		| {readonly kind: 'silence'}
+	/** Resets every connection, and each new one. */
+		| {readonly kind: 'reset'}
 	/** Passes requests on and breaks the connection when the reply begins. */
 		| {readonly kind: 'breakOnReply'};
 
@@ -24,12 +28,14 @@
 type Direction = 'request' | 'reply';
 
 /** What becomes of a chunk, by fault and direction. */
-const CHUNK_FATES: Readonly<Record<ProxyFault['kind'], Readonly<Record<Direction, 'pass' | 'lose' | 'break'>>>> = {
+const CHUNK_FATES: Readonly<Record<ProxyFault['kind'], Readonly<Record<Direction, 'pass' | 'lose' | 'silence' | 'break'>>>> = {
 	none: {request: 'pass', reply: 'pass'},
 	cut: {request: 'break', reply: 'break'},
 	delay: {request: 'pass', reply: 'pass'},
 	loseRequests: {request: 'lose', reply: 'pass'},
 	loseReplies: {request: 'pass', reply: 'lose'},
+	silence: {request: 'silence', reply: 'silence'},
+	reset: {request: 'break', reply: 'break'},
 	breakOnReply: {request: 'pass', reply: 'break'},
 };
 
@@ -63,6 +69,10 @@
 			}
 		});
 		from.on('end', () => {
+			if (CHUNK_FATES[fault.kind][direction] === 'silence') {
+				return;
+			}
+
 			// Behind every chunk that is still held.
 			setTimeout(() => {
 				to.end();
@@ -85,6 +95,11 @@
 			return;
 		}
 
+		if (fault.kind === 'reset') {
+			client.resetAndDestroy();
+			return;
+		}
+
 		const upstream = connect(Number(port), host);
 		pump(client, upstream, 'request');
 		pump(upstream, client, 'reply');
@@ -103,6 +118,10 @@
 			fault = next;
 			if (next.kind === 'cut') {
 				destroyAll();
+			} else if (next.kind === 'reset') {
+				for (const socket of sockets) {
+					socket.resetAndDestroy();
+				}
 			}
 		},
 		async close() {
