Send a request that crashed a target elsewhere when it comes again

Cause: a poison request counts by the targets that it crashed. A target that was back from its backoff of 150 ms ran the same request again, which counted as one crash, so a fourth run was possible (KNOWN-RED entry of directEntryFaults). Change: the targets that a request crashed are excluded when it comes again, while others of its service remain. Each run then counts. Before: the new test in servingReducer.test.ts fails (one target takes two runs).

--- a/packages/core/src/retries/poisonRequestTracker.ts
+++ b/packages/core/src/retries/poisonRequestTracker.ts
@@ -18,6 +18,8 @@
 	readonly merge: (updates: readonly CrashUpdate[], nowMs: number) => void;
 	/** Returns whether the request must not run any more. */
 	readonly isQuarantined: (fingerprint: string, nowMs: number) => boolean;
+	/** Lists the targets that crashed while they ran a request. Another run belongs elsewhere, so that each run can count. */
+	readonly listCrashedTargets: (fingerprint: string, nowMs: number) => readonly string[];
 	/** Returns the updates that are not reported to peers yet, and clears them. */
 	readonly takeUpdates: () => CrashUpdate[];
 };
@@ -34,15 +36,18 @@
 	const crashesByFingerprint = new Map<string, {targetIds: Set<string>; lastCrashAtMs: number}>();
 	let pendingUpdates: CrashUpdate[] = [];
 
+	const findRecentCrashes = (fingerprint: string, nowMs: number) => {
+		const crashes = crashesByFingerprint.get(fingerprint);
+		return crashes !== undefined && nowMs - crashes.lastCrashAtMs <= RETENTION_MS ? crashes : undefined;
+	};
+
 	const applyUpdate = (fingerprint: string, targetId: string, nowMs: number) => {
 		if (targetId === '') {
 			crashesByFingerprint.delete(fingerprint);
 			return;
 		}
 
-		const previous = crashesByFingerprint.get(fingerprint);
-		const isFresh = previous !== undefined && nowMs - previous.lastCrashAtMs <= RETENTION_MS;
-		const targetIds = isFresh ? previous.targetIds : new Set<string>();
+		const targetIds = findRecentCrashes(fingerprint, nowMs)?.targetIds ?? new Set<string>();
 		crashesByFingerprint.delete(fingerprint);
 		crashesByFingerprint.set(fingerprint, {targetIds: targetIds.add(targetId), lastCrashAtMs: nowMs});
 		const [oldest] = crashesByFingerprint.keys();
@@ -67,9 +72,10 @@
 			}
 		},
 		isQuarantined(fingerprint, nowMs) {
-			const crashes = crashesByFingerprint.get(fingerprint);
-			return crashes !== undefined && nowMs - crashes.lastCrashAtMs <= RETENTION_MS && crashes.targetIds.size >= MAX_CRASHED_TARGETS;
+			const crashes = findRecentCrashes(fingerprint, nowMs);
+			return crashes !== undefined && crashes.targetIds.size >= MAX_CRASHED_TARGETS;
 		},
+		listCrashedTargets: (fingerprint, nowMs) => [...findRecentCrashes(fingerprint, nowMs)?.targetIds ?? []],
 		takeUpdates() {
 			const updates = pendingUpdates;
 			pendingUpdates = [];
--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -50,12 +50,12 @@
 	return state;
 }
 
-function createArrival(callId: number, kind: RouteKind, nowMs: number): ServingEvent {
+function createArrival(callId: number, kind: RouteKind, nowMs: number, fingerprint = `f${callId}`): ServingEvent {
 	return {
 		type: 'call.arrived',
 		callId,
 		request: {
-			requestId: `request${callId}`, host: 'host', path: `/${kind}/x`, key: undefined, deadlineMs: 3000, bodyBytes: 0, prompt: undefined, fingerprint: `f${callId}`,
+			requestId: `request${callId}`, host: 'host', path: `/${kind}/x`, key: undefined, deadlineMs: 3000, bodyBytes: 0, prompt: undefined, fingerprint,
 		},
 		wallMs: nowMs,
 		waitedMs: 0,
@@ -100,6 +100,23 @@
 		}));
 	});
 
+	// Guards against a fourth run of a poison request: a crashed target that is back from its backoff runs it again, which counts as one crash.
+	it('sends a request that crashed a target to other targets when it comes again, and refuses it after three', () => {
+		const state = createTestState();
+		const targetIds = [1, 2, 3].map(callId => {
+			const nowMs = callId * 10_000;
+			const send = findSend(reduceServing(state, createArrival(callId, 'unsafe', nowMs, 'poison')));
+			assert.ok(send !== undefined);
+			reduceServing(state, {
+				type: 'attempt.ended', callId, attemptId: send.attemptId, result: 'unknown', isResponseStarted: false, hasRun: false, wallMs: 0, detail: '', nowMs,
+			});
+			return send.target.targetId;
+		});
+		assert.equal(new Set(targetIds).size, 3);
+		const refusal = findRefusal(reduceServing(state, createArrival(4, 'unsafe', 40_000, 'poison')));
+		assert.equal(refusal?.code, 'quarantined');
+	});
+
 	it('counts no work on any target after all calls have ended', () => {
 		const end = fc.constantFrom<'answered' | 'disconnected' | 'expired' | 'unknown' | 'notRun'>('answered', 'disconnected', 'expired', 'unknown', 'notRun');
 		fc.assert(fc.property(fc.array(end, {maxLength: 30}), ends => {
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -39,7 +39,7 @@
 			snapshot: createRequestSnapshot(isRetryable),
 			attempt: undefined,
 			attemptCount: 0,
-			excludedTargetIds: new Set(),
+			excludedTargetIds: listCrashedTargets(state, request.fingerprint, {serviceId, nowMs}),
 			decodeTarget: undefined,
 			hasReservedSlot: false,
 			isUsageCounted: false,
@@ -185,6 +185,17 @@
 	return [createAttemptRecord(call, 'notRun', detail), ...planNextAttempt(state, call, nowMs)];
 }
 
+/**
+ * Lists the targets of a service that crashed while they ran the same request before. The list is empty if no other
+ * target would remain.
+ */
+function listCrashedTargets({poisonRequests, placement}: ServingState, fingerprint: string, {serviceId, nowMs}: {serviceId: string; nowMs: number}): Set<string> {
+	const crashed = new Set(poisonRequests.listCrashedTargets(fingerprint, nowMs));
+	const hasOthers = crashed.size > 0 && [...placement.targets.values()].some(({record}) =>
+		record.serviceId === serviceId && !record.isLeaving && !crashed.has(record.targetId));
+	return hasOthers ? crashed : new Set();
+}
+
 function recordCrash({poisonRequests}: ServingState, {attempt, request}: ServingCall, nowMs: number): void {
 	if (attempt !== undefined) {
 		poisonRequests.recordCrash(request.fingerprint, attempt.target.record.targetId, nowMs);
