Keep what targets say about themselves, and bound what they send

Cause: Server-Leaving and the Retry-After of a target's 503 were ignored; a body of a failure or of a prefill was buffered without bound; interim responses, line breaks and chunk extensions without end kept a connection busy until the route's timeout; a late copy of another request's refusal counted as proof of "not run". Change: the head of each answer of a target, control calls included, is decoded into a TargetNotice. A target that says that it stops gets nothing more until it registers with a new start time, whatever the store lists; peers are told. A target that asks for a pause gets nothing until its end, requests that wait for a connection included; when all targets of a service pause, callers are told the true time. Orders and usage reports end with the term under which they were sent. Bodies that are not forwarded are bounded, and connections whose bytes lead to no response are closed after 64 KiB. A refusal counts at its head, and only if it echoes no other request's identifier.

--- a/packages/core/src/membership/targetCatalog.ts
+++ b/packages/core/src/membership/targetCatalog.ts
@@ -11,6 +11,8 @@
 export type TargetCatalog = {
 	/** Registrations by target identifier. `missingSinceMs` is the time since which the store has not contained the registration. */
 	readonly registrations: Map<string, {record: TargetRecord; missingSinceMs: number | undefined}>;
+	/** Targets that told this entry in an answer that they are about to stop, with their start time, by identifier. */
+	readonly noticedLeaving: Map<string, number>;
 	/** Time of the last failed call to the store. */
 	storeFailedAtMs: number;
 };
@@ -18,9 +20,12 @@
 /** Time within which a live target registers again after the store recovers. */
 const REREGISTRATION_GRACE_MS = 2200;
 
+/** Maximum number of targets that are remembered as leaving. The oldest is dropped first; its process has long ended. */
+const MAX_NOTICED_LEAVING = 4096;
+
 /** Creates an empty catalog. */
 export function createTargetCatalog(): TargetCatalog {
-	return {registrations: new Map(), storeFailedAtMs: Number.NEGATIVE_INFINITY};
+	return {registrations: new Map(), noticedLeaving: new Map(), storeFailedAtMs: Number.NEGATIVE_INFINITY};
 }
 
 /**
@@ -48,13 +53,38 @@
 
 	for (const record of change.targets) {
 		const previous = catalog.registrations.get(record.targetId)?.record;
-		const wasLeaving = previous?.isLeaving === true && previous.startedAtMs === record.startedAtMs;
+		const wasLeaving = (previous?.isLeaving === true && previous.startedAtMs === record.startedAtMs)
+			|| catalog.noticedLeaving.get(record.targetId) === record.startedAtMs;
 		catalog.registrations.set(record.targetId, {record: {...record, isLeaving: record.isLeaving || wasLeaving}, missingSinceMs: undefined});
 	}
 
 	expireRegistrations(catalog, nowMs);
 }
 
+/**
+ * Records that a target is about to stop, as it told this entry or a peer. This holds for the incarnation that said so,
+ * whatever the store lists. Changes the catalog in place.
+ *
+ * @returns whether this was not known yet
+ */
+export function recordLeaving(catalog: TargetCatalog, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): boolean {
+	if (catalog.noticedLeaving.get(targetId) === startedAtMs) {
+		return false;
+	}
+
+	catalog.noticedLeaving.set(targetId, startedAtMs);
+	if (catalog.noticedLeaving.size > MAX_NOTICED_LEAVING) {
+		catalog.noticedLeaving.delete(catalog.noticedLeaving.keys().next().value!);
+	}
+
+	const registration = catalog.registrations.get(targetId);
+	if (registration?.record.startedAtMs === startedAtMs) {
+		registration.record = {...registration.record, isLeaving: true};
+	}
+
+	return true;
+}
+
 /**
  * Removes the targets whose registration is missing and whose time to register
  * again after a store failure is over. Changes the catalog in place.
--- a/packages/core/src/placement/placeCall.ts
+++ b/packages/core/src/placement/placeCall.ts
@@ -3,7 +3,9 @@
  * slot and prefers targets of the local zone. It is made for short calls that
  * may not be retried: a call placed in the wrong queue is answered late.
  */
-import {type PlacedTarget, type PlacementState, sumWork} from './placementState.js';
+import {
+	mayReceive, type PlacedTarget, type PlacementState, sumWork,
+} from './placementState.js';
 
 /** Options of {@link placeCall}. */
 export type PlaceCallOptions = {
@@ -32,7 +34,7 @@
 	let bestScore = Number.POSITIVE_INFINITY;
 	for (const target of state.targets.values()) {
 		const {record} = target;
-		if (record.serviceId !== serviceId || record.isLeaving || excludedTargetIds.has(record.targetId)) {
+		if (record.serviceId !== serviceId || !mayReceive(target, nowMs) || excludedTargetIds.has(record.targetId)) {
 			continue;
 		}
 
--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -7,7 +7,7 @@
 import {STAGES, type EngineRecord, type PromptRecord} from '../serving/servingRecords.js';
 import {type PlacementSettings} from './placementSettings.js';
 import {
-	listSharedParts, type PlacedTarget, type PlacementState, sumWork,
+	listSharedParts, mayReceive, type PlacedTarget, type PlacementState, sumWork,
 } from './placementState.js';
 
 /** The targets chosen for a generation, and the estimates behind the choice. */
@@ -113,7 +113,7 @@
 	const available: Candidate[] = [];
 	const backingOff: Candidate[] = [];
 	for (const target of state.targets.values()) {
-		if (target.record.serviceId !== demand.serviceId || target.record.isLeaving
+		if (target.record.serviceId !== demand.serviceId || !mayReceive(target, nowMs)
 			|| demand.excludedTargetIds.has(target.record.targetId)) {
 			continue;
 		}
--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -32,6 +32,8 @@
 	/** End of the backoff after failures. Until then the target is chosen only if there is no other. */
 	backoffUntilMs: number;
 	consecutiveFailures: number;
+	/** End of the pause that the target asked for. Until then it is not chosen at all. */
+	pausedUntilMs: number;
 	/** Last time at which a response of the target began or ended. */
 	lastResponseAtMs: number;
 };
@@ -79,7 +81,7 @@
 		const existing = state.targets.get(record.targetId);
 		if (existing === undefined) {
 			state.targets.set(record.targetId, {
-				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, lastResponseAtMs: 0,
+				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, lastResponseAtMs: 0,
 			});
 			continue;
 		}
@@ -88,6 +90,7 @@
 			state.prefixLocations.removeTarget(record.targetId);
 			existing.consecutiveFailures = 0;
 			existing.backoffUntilMs = 0;
+			existing.pausedUntilMs = 0;
 		}
 
 		existing.record = record;
@@ -164,6 +167,24 @@
 	target.backoffUntilMs = 0;
 }
 
+/** Returns whether a target takes new requests: it is not about to stop and has not asked for a pause. */
+export function mayReceive({record, pausedUntilMs}: PlacedTarget, nowMs: number): boolean {
+	return !record.isLeaving && nowMs >= pausedUntilMs;
+}
+
+/**
+ * Computes the time until a target of a service takes requests again.
+ *
+ * @returns undefined unless all targets of the service that are not about to stop have asked for a pause
+ */
+export function computePauseMs({targets}: PlacementState, serviceId: string, nowMs: number): number | undefined {
+	const pauses = [...targets.values()]
+		.filter(({record}) => record.serviceId === serviceId && !record.isLeaving)
+		.map(({pausedUntilMs}) => pausedUntilMs - nowMs);
+	const shortestMs = Math.min(...pauses);
+	return pauses.length > 0 && shortestMs > 0 ? Math.ceil(shortestMs) : undefined;
+}
+
 /** Lists the parts of a prompt that other requests may share, in order: all but the last. */
 export function listSharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
 	return parts.slice(0, -1);
--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -69,7 +69,7 @@
 /** Creates a report of a peer without unfinished work. */
 function createTestReport(entryId: string, sequence: number): PeerReport {
 	return {
-		entryId, processId: `${entryId}.process`, availabilityZone: 'zoneA', sequence, wallMs: 0, work: [], prefixUses: [], crashes: [], usage: [],
+		entryId, processId: `${entryId}.process`, availabilityZone: 'zoneA', sequence, wallMs: 0, work: [], prefixUses: [], leaving: [], crashes: [], usage: [],
 	};
 }
 
@@ -100,6 +100,68 @@
 		}));
 	});
 
+	// Guards against requests to a target that has said that it stops, while the store still lists it as ready or lists it anew.
+	it('sends nothing to an incarnation that said that it stops, whatever the store lists, and tells peers once', () => {
+		const state = createTestState();
+		const leaving = createTestTarget('a', {serviceId: 'plain', stage: undefined});
+		const effects = reduceServing(state, {
+			type: 'target.noticed', target: leaving, notice: {isLeaving: true, pauseMs: 0}, nowMs: 100,
+		});
+		assert.ok(effects.some(({type}) => type === 'work.report'));
+		assert.deepEqual(state.unreportedLeaving, [['a', leaving.startedAtMs]]);
+		assert.deepEqual(reduceServing(state, {
+			type: 'target.noticed', target: leaving, notice: {isLeaving: true, pauseMs: 0}, nowMs: 101,
+		}), []);
+		const changes = [
+			{targets: [leaving], removed: [], isComplete: false},
+			{targets: [], removed: ['a'], isComplete: false},
+			{targets: ['a', 'b', 'c', 'd'].map(targetId => createTestTarget(targetId, {serviceId: 'plain', stage: undefined})), removed: [], isComplete: true},
+		];
+		for (const [index, change] of changes.entries()) {
+			reduceServing(state, {type: 'targets.changed', ...change, nowMs: 10_000 * (index + 1)});
+			for (let callId = index * 10; callId < (index + 1) * 10; callId += 1) {
+				assert.notEqual(findSend(reduceServing(state, createArrival(callId, 'unsafe', 10_000 * (index + 1))))?.target.targetId, 'a');
+			}
+		}
+
+		reduceServing(state, {
+			type: 'targets.changed', targets: [createTestTarget('a', {serviceId: 'plain', stage: undefined, startedAtMs: 9})], removed: [], isComplete: true, nowMs: 90_000,
+		});
+		assert.equal(findSend(reduceServing(state, createArrival(100, 'unsafe', 90_000)))?.target.targetId, 'a');
+	});
+
+	it('sends nothing to a target that a peer reports as leaving', () => {
+		const state = createTestState();
+		const {startedAtMs} = createTestTarget('a');
+		reduceServing(state, {
+			type: 'peer.reported', report: {...createTestReport('peer', 1), leaving: [['a', startedAtMs]]}, wallMs: 0, nowMs: 1,
+		});
+		assert.equal(state.placement.targets.get('a')?.record.isLeaving, true);
+	});
+
+	// Guards against requests, retries included, to a target that has turned one away with a retry-after header.
+	it('sends nothing to a target during the pause that it asked for, and tells callers the true pause when all targets pause', () => {
+		const state = createTestState();
+		const pauseTarget = (targetId: string, pauseMs: number, nowMs: number) => reduceServing(state, {
+			type: 'target.noticed', target: createTestTarget(targetId, {serviceId: 'plain', stage: undefined}), notice: {isLeaving: false, pauseMs}, nowMs,
+		});
+		for (const [index, targetId] of ['a', 'b', 'c'].entries()) {
+			pauseTarget(targetId, 2000 + index, 0);
+		}
+
+		for (let callId = 0; callId < 12; callId += 1) {
+			assert.equal(findSend(reduceServing(state, createArrival(callId, 'unsafe', 10)))?.target.targetId, 'd');
+		}
+
+		pauseTarget('d', 5000, 20);
+		// A shorter pause does not replace a longer one.
+		pauseTarget('d', 100, 20);
+		const refusal = findRefusal(reduceServing(state, createArrival(20, 'unsafe', 500)));
+		assert.deepEqual([refusal?.outcome, refusal?.retryAfterMs], [OUTCOMES.refusedNotRun, 1500]);
+		assert.equal(findSend(reduceServing(state, createArrival(21, 'unsafe', 2000)))?.target.targetId, 'a');
+		assert.equal(state.placement.targets.get('d')?.pausedUntilMs, 5020);
+	});
+
 	// Guards against a fourth run of a poison request: a crashed target that is back from its backoff runs it again, which counts as one crash.
 	it('sends a request that crashed a target to other targets when it comes again, and refuses it after three', () => {
 		const state = createTestState();
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -4,7 +4,7 @@
 import {placeCall} from '../placement/placeCall.js';
 import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
 import {
-	listSharedParts, PEER_TIMEOUT_MS, type PlacedTarget, recordAnswer, recordFault,
+	computePauseMs, listSharedParts, mayReceive, PEER_TIMEOUT_MS, type PlacedTarget, recordAnswer, recordFault,
 } from '../placement/placementState.js';
 import {HASH_RANGE, hashIdentifier} from '../routing/rendezvous.js';
 import {advanceRequest} from '../request/requestRecord.js';
@@ -60,7 +60,7 @@
 	if (plan === undefined || 'refusal' in plan) {
 		return [
 			...refuseExhaustedCall(state, call, plan?.refusal ?? ERROR_CODES.noTarget, hasRun, plan),
-			...(handle === undefined ? [] : [{type: 'handle.free', ...handle} as const]),
+			...releaseHandle(call, handle, nowMs),
 		];
 	}
 
@@ -115,6 +115,13 @@
 	];
 }
 
+/** Releases the KV cache of a prompt that no target takes over, unless the target that holds it has asked for a pause. */
+function releaseHandle({attempt}: ServingCall, handle: KvCacheHandle | undefined, nowMs: number): readonly ServingEffect[] {
+	return handle !== undefined && attempt !== undefined && nowMs >= attempt.target.pausedUntilMs
+		? [{type: 'handle.free', target: attempt.target.record, handleId: handle.handleId}]
+		: [];
+}
+
 /**
  * Releases the slot that a call has reserved on its decode target.
  *
@@ -154,7 +161,7 @@
 		state: state.placement, serviceId: call.serviceId, excludedTargetIds: call.excludedTargetIds, nowMs,
 	});
 	return plan === undefined
-		? {refusal: ERROR_CODES.noTarget, retryAfterMs: DEFAULT_RETRY_AFTER_MS}
+		? {refusal: ERROR_CODES.noTarget, retryAfterMs: computePauseMs(state.placement, call.serviceId, nowMs) ?? DEFAULT_RETRY_AFTER_MS}
 		: {
 			target: plan.target, isPrefillOnly: false, queuedWork: NO_QUEUED_WORK, handle: undefined, cacheSource: undefined, expectedFirstByteMs: 0, detail: {running: plan.running},
 		};
@@ -177,7 +184,7 @@
 		nowMs,
 	});
 	if (plan === undefined) {
-		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computeRetryAfterMs(state, call, nowMs)};
+		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computePauseMs(placement, call.serviceId, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
 	}
 
 	const refuseAboveMs = call.route.goalMs * placementSettings.refuseAtGoals;
@@ -230,7 +237,7 @@
 function planHandover(state: ServingState, call: ServingCall, handle: KvCacheHandle, nowMs: number): AttemptPlan | undefined {
 	const {decodeTarget} = call;
 	const isAvailable = decodeTarget !== undefined && state.placement.targets.get(decodeTarget.record.targetId) === decodeTarget
-		&& !decodeTarget.record.isLeaving && decodeTarget.record.stage !== STAGES.prefill;
+		&& mayReceive(decodeTarget, nowMs) && decodeTarget.record.stage !== STAGES.prefill;
 	const target = isAvailable ? decodeTarget : findDecodeTarget(state, call, nowMs);
 	return target === undefined
 		? undefined
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -1,8 +1,10 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {rankDuties} from '../lease/leaseHandlers.js';
-import {applyRegistrations, expireRegistrations, listTargets} from '../membership/targetCatalog.js';
+import {
+	applyRegistrations, expireRegistrations, listTargets, recordLeaving,
+} from '../membership/targetCatalog.js';
 import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
-import {type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingState} from './servingState.js';
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
@@ -21,6 +23,29 @@
 		state.catalog.storeFailedAtMs = nowMs;
 		return [];
 	},
+	'target.noticed'(state, {target, notice, nowMs}) {
+		const effects: ServingEffect[] = [];
+		const placed = state.placement.targets.get(target.targetId);
+		if (notice.pauseMs > 0 && placed?.record.startedAtMs === target.startedAtMs && nowMs + notice.pauseMs > placed.pausedUntilMs) {
+			placed.pausedUntilMs = nowMs + notice.pauseMs;
+			effects.push({
+				type: 'decision.record', name: 'target.paused', subject: target.targetId, detail: {pauseMs: notice.pauseMs},
+			});
+		}
+
+		if (notice.isLeaving && recordLeaving(state.catalog, target)) {
+			state.unreportedLeaving.push([target.targetId, target.startedAtMs]);
+			effects.push(
+				{
+					type: 'decision.record', name: 'target.leaving', subject: target.targetId, detail: {startedAtMs: target.startedAtMs, toldBy: 'answer'},
+				},
+				...applyCatalog(state),
+				{type: 'work.report'},
+			);
+		}
+
+		return effects;
+	},
 	'configuration.changed'(state, {configuration}) {
 		const currentVersion = state.configuration?.version;
 		if (currentVersion !== undefined && configuration.version <= currentVersion) {
@@ -47,9 +72,10 @@
 
 		state.poisonRequests.merge(report.crashes, nowMs);
 		state.usage.merge(report);
+		const leavingEffects = mergeLeaving(state, report);
 		const lastReport = state.placement.peers.get(report.entryId);
 		if (lastReport?.processId === report.processId && report.sequence <= lastReport.sequence) {
-			return [];
+			return leavingEffects;
 		}
 
 		state.placement.peers.set(report.entryId, {
@@ -62,13 +88,13 @@
 		});
 		state.clock.recordOffset(report.entryId, report.wallMs - wallMs);
 		if (state.membership.peers.has(report.entryId)) {
-			return [];
+			return leavingEffects;
 		}
 
 		state.membership.peers.set(report.entryId, {
 			instanceId: report.entryId, availabilityZone: report.availabilityZone, region: '',
 		});
-		return [{
+		return [...leavingEffects, {
 			type: 'decision.record', name: 'peer.found', subject: report.entryId, detail: {processId: report.processId},
 		}];
 	},
@@ -97,6 +123,19 @@
 	},
 };
 
+/** Records the targets that a peer reports as about to stop. */
+function mergeLeaving(state: ServingState, {entryId, leaving}: PeerReport): readonly ServingEffect[] {
+	const news = leaving.filter(([targetId, startedAtMs]) => recordLeaving(state.catalog, {targetId, startedAtMs}));
+	return news.length === 0
+		? []
+		: [
+			...news.map(([targetId, startedAtMs]): ServingEffect => ({
+				type: 'decision.record', name: 'target.leaving', subject: targetId, detail: {startedAtMs, toldBy: entryId},
+			})),
+			...applyCatalog(state),
+		];
+}
+
 function applyCatalog(state: ServingState): readonly ServingEffect[] {
 	const targets = listTargets(state.catalog);
 	applyTargets(state.placement, targets);
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -3,7 +3,7 @@
 import {type BaseEvent} from '../reducer/createReducer.js';
 import {type LeaseEffect, type LeaseEvent} from '../lease/leaseMessages.js';
 import {
-	type PromptRecord, type ServingConfiguration, type Stage, type TargetRecord,
+	type PromptRecord, type ServingConfiguration, type Stage, type TargetNotice, type TargetRecord,
 } from './servingRecords.js';
 
 type Timed<Type extends string, Fields> = BaseEvent & {readonly type: Type} & Fields;
@@ -79,11 +79,11 @@
 		| {readonly type: 'attempt.forward'; readonly callId: number; readonly attemptId: number}
 		/** Starts the timer of a call's timeout. */
 		| {readonly type: 'call.startTimeout'; readonly callId: number; readonly afterMs: number}
-		| {readonly type: 'handle.free'; readonly address: string; readonly handleId: string}
-		| {readonly type: 'order.send'; readonly target: TargetRecord; readonly stage: Stage; readonly fence: number}
+		| {readonly type: 'handle.free'; readonly target: TargetRecord; readonly handleId: string}
+		| {readonly type: 'order.send'; readonly target: TargetRecord; readonly stage: Stage; readonly fence: number; readonly remainingTermMs: number}
 		| {readonly type: 'usage.seal'; readonly sealed: SealedUsage; readonly expectedVersion: number}
 		| {readonly type: 'usage.read'}
-		| {readonly type: 'usage.report'; readonly windowId: number; readonly counts: UsageCountsByCustomer; readonly fence: number}
+		| {readonly type: 'usage.report'; readonly windowId: number; readonly counts: UsageCountsByCustomer; readonly fence: number; readonly remainingTermMs: number}
 		/** Reports changed work to peers. The runtime combines several such effects into one message. */
 		| {readonly type: 'work.report'}
 		/** Writes one log line. */
@@ -107,6 +107,8 @@
 	readonly work: ReadonlyArray<readonly [targetId: string, running: number, prefillMs: number, shortPrefillMs: number, copyMs: number]>;
 	/** Shared prompt parts sent to targets since the previous report. */
 	readonly prefixUses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
+	/** Targets that told this entry in an answer that they are about to stop. */
+	readonly leaving: ReadonlyArray<readonly [targetId: string, startedAtMs: number]>;
 	/** Requests that crashed targets, and requests that were answered after such a crash. */
 	readonly crashes: readonly CrashUpdate[];
 	/** Counts of the latest windows up to now. */
@@ -122,8 +124,18 @@
 		/** The first bytes of a response arrived. */
 		| Timed<'attempt.began', {readonly callId: number; readonly attemptId: number; readonly wallMs: number}>
 		| Timed<'attempt.prefillEnded', {readonly callId: number; readonly attemptId: number; readonly handleId: string | undefined; readonly result: AttemptResult}>
-		| Timed<'attempt.ended', {readonly callId: number; readonly attemptId: number; readonly result: AttemptResult; readonly isResponseStarted: boolean; readonly hasRun: boolean; readonly wallMs: number; readonly detail: string}>
+		| Timed<'attempt.ended', {
+			readonly callId: number;
+			readonly attemptId: number;
+			readonly result: AttemptResult;
+			readonly isResponseStarted: boolean;
+			readonly hasRun: boolean;
+			readonly wallMs: number;
+			readonly detail: string;
+		}>
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
+		/** A target said something about itself in an answer. */
+		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice}>
 		/** A call to the store failed, so registrations may have expired unnoticed. */
 		| Timed<'store.failed', {readonly detail: string}>
 		| Timed<'configuration.changed', {readonly configuration: ServingConfiguration}>
--- a/packages/core/src/serving/servingRecords.ts
+++ b/packages/core/src/serving/servingRecords.ts
@@ -41,6 +41,14 @@
 	readonly startedAtMs: number;
 };
 
+/** What a target says about itself in the head of an answer. */
+export type TargetNotice = {
+	/** Whether the target is about to stop. */
+	readonly isLeaving: boolean;
+	/** Time for which the target wants no request from this entry; zero if it does not ask for a pause. */
+	readonly pauseMs: number;
+};
+
 /** A service that receives a share of a route's requests. */
 export type RouteShare = {readonly serviceId: string; readonly weight: number};
 
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -79,6 +79,8 @@
 	readonly membership: {readonly peers: Map<string, {instanceId: string; availabilityZone: string; region: string}>};
 	/** Prefix uses not yet reported to peers. */
 	unreportedPrefixUses: Array<PeerReport['prefixUses'][number]>;
+	/** Targets that told this entry that they are about to stop, not yet reported to peers. */
+	unreportedLeaving: Array<PeerReport['leaving'][number]>;
 	readonly fleet: {
 		/** Desired number of targets in stage `prefill`. If undefined, stages are not changed. */
 		readonly prefillTargets: number | undefined;
@@ -137,6 +139,7 @@
 		}),
 		membership: {peers: new Map()},
 		unreportedPrefixUses: [],
+		unreportedLeaving: [],
 		fleet: {prefillTargets: options.prefillTargets, pendingOrderTargetId: undefined, nextOrderAtMs: 0},
 	};
 }
--- a/packages/core/src/serving/stageHandlers.ts
+++ b/packages/core/src/serving/stageHandlers.ts
@@ -1,7 +1,7 @@
 /** Sends orders that change the stage of engines. Only the holder of the control duty sends them. */
 import {SECOND_MS} from '@damaskspool/shared';
 import {findHeldDuty} from '../lease/leaseState.js';
-import {sumWork, type PlacedTarget} from '../placement/placementState.js';
+import {mayReceive, sumWork, type PlacedTarget} from '../placement/placementState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {STAGES, type Stage} from './servingRecords.js';
@@ -38,7 +38,7 @@
 		fleet.pendingOrderTargetId = target.record.targetId;
 		return [
 			{
-				type: 'order.send', target: target.record, stage, fence: heldDuty.epoch,
+				type: 'order.send', target: target.record, stage, fence: heldDuty.epoch, remainingTermMs: heldDuty.remainingMs,
 			},
 			{
 				type: 'decision.record', name: 'order.sent', subject: target.record.targetId, detail: {stage, fence: heldDuty.epoch, wanted: fleet.prefillTargets},
@@ -58,7 +58,7 @@
 
 /** Chooses the target with the fewest requests whose stage has to change to reach the desired number of prefill targets. */
 function chooseStageChange(state: ServingState, desiredPrefillTargets: number, nowMs: number): {target: PlacedTarget; stage: Stage} | undefined {
-	const engines = [...state.placement.targets.values()].filter(({record}) => record.stage !== undefined && !record.isLeaving);
+	const engines = [...state.placement.targets.values()].filter(target => target.record.stage !== undefined && mayReceive(target, nowMs));
 	const prefillTargets = engines.filter(({record}) => record.stage === STAGES.prefill);
 	const [candidates, stage] = prefillTargets.length > desiredPrefillTargets
 		? [prefillTargets, STAGES.decode]
--- a/packages/core/src/usage/requestUsageHandlers.ts
+++ b/packages/core/src/usage/requestUsageHandlers.ts
@@ -1,5 +1,5 @@
 import {SECOND_MS} from '@damaskspool/shared';
-import {dropDuty, findHeldDuty} from '../lease/leaseState.js';
+import {dropDuty, findHeldDuty, type HeldDuty} from '../lease/leaseState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {CONTROL_DUTY, type ServingState} from '../serving/servingState.js';
 import {type SealedUsage, type ServingEffect, type ServingEvent} from '../serving/servingMessages.js';
@@ -33,7 +33,7 @@
 			return [];
 		}
 
-		return [...planSeal(state, state.clock.toMedianTime(wallMs)), ...planReports(state, held.epoch)];
+		return [...planSeal(state, state.clock.toMedianTime(wallMs)), ...planReports(state, held)];
 	},
 	'usage.sealEnded'({usage}, {result}) {
 		usage.isStoreCallInFlight = false;
@@ -80,7 +80,7 @@
 	return [{type: 'usage.seal', sealed: Object.fromEntries(retained), expectedVersion: sealed.version}];
 }
 
-function planReports({usage}: ServingState, fence: number): readonly ServingEffect[] {
+function planReports({usage}: ServingState, {epoch: fence, remainingMs: remainingTermMs}: HeldDuty): readonly ServingEffect[] {
 	if (usage.sealed === undefined || usage.isStoreCallInFlight) {
 		return [];
 	}
@@ -91,7 +91,7 @@
 		if (!usage.reportedWindows.has(windowId) && !usage.reportsInFlight.has(windowId)) {
 			usage.reportsInFlight.add(windowId);
 			effects.push({
-				type: 'usage.report', windowId, counts, fence,
+				type: 'usage.report', windowId, counts, fence, remainingTermMs,
 			});
 		}
 	}
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -1,4 +1,6 @@
-import {ATTEMPT_RESULTS, type ServingEffect, type ServingEvent} from '@damaskspool/core';
+import {
+	ATTEMPT_RESULTS, type ServingEffect, type ServingEvent, type TargetRecord,
+} from '@damaskspool/core';
 import {
 	type DeploymentPorts, type EffectHandlers, type Metrics, type UntimedEvent,
 } from '@damaskspool/runtime';
@@ -16,6 +18,8 @@
 	readonly pools: TargetPools;
 	/** Returns the maximum number of connections from this entry to one target of a service. */
 	readonly computeMaxConnections: (serviceId: string) => number;
+	/** Whether a target has asked for a pause that is not over. */
+	readonly isPaused: (targetId: string) => boolean;
 	/** Returns milliseconds since 1970. */
 	readonly readWallClock: () => number;
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
@@ -30,7 +34,7 @@
 };
 
 /** Creates the handlers of effects that concern calls, with an empty registry of calls. */
-export function createCallEffects({ports, metrics, pools, computeMaxConnections, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
+export function createCallEffects({ports, metrics, pools, computeMaxConnections, isPaused, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
 	const handles = new Map<number, CallHandle>();
 	const timers = new Map<number, NodeJS.Timeout>();
 
@@ -40,6 +44,13 @@
 		handles.delete(callId);
 	};
 
+	const releaseHandle = async (target: TargetRecord, handleId: string) => {
+		const reply = await ports.releaseKvHandle(target.address, handleId);
+		if (reply !== undefined) {
+			dispatch({type: 'target.noticed', target, notice: reply.notice});
+		}
+	};
+
 	return {
 		add(handle) {
 			handles.set(handle.callId, handle);
@@ -59,6 +70,13 @@
 					pool: pools.resolve(target, computeMaxConnections(target.serviceId)),
 					ports,
 					isHandlingReset: pools.isHandlingReset,
+					onProgress: pools.recordProgress,
+					isPaused: () => isPaused(target.targetId),
+					onNotice(notice) {
+						if (notice.isLeaving || notice.pauseMs > 0) {
+							dispatch({type: 'target.noticed', target, notice});
+						}
+					},
 					onResponseBegan() {
 						dispatch({
 							type: 'attempt.began', callId, attemptId, wallMs: readWallClock(),
@@ -106,8 +124,8 @@
 
 				end(callId);
 			},
-			'handle.free'({address, handleId}) {
-				void ports.releaseKvHandle(address, handleId);
+			'handle.free'({target, handleId}) {
+				void releaseHandle(target, handleId);
 			},
 		},
 	};
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -97,6 +97,7 @@
 		metrics,
 		pools,
 		computeMaxConnections,
+		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
 		readWallClock,
 		dispatch(event) {
 			loop.dispatch(event);
--- a/packages/daemon/src/direct/createDutyEffects.ts
+++ b/packages/daemon/src/direct/createDutyEffects.ts
@@ -37,12 +37,16 @@
 		});
 	};
 
-	const sendOrder = async ({target, stage, fence}: EffectOf<'order.send'>) => {
-		const status = await ports.orderStage({
-			target, stage, holder: instanceId, fence,
+	const sendOrder = async ({target, stage, fence, remainingTermMs}: EffectOf<'order.send'>) => {
+		const reply = await ports.orderStage({
+			target, stage, holder: instanceId, fence, timeoutMs: remainingTermMs,
 		});
+		if (reply !== undefined) {
+			dispatch({type: 'target.noticed', target, notice: reply.notice});
+		}
+
 		dispatch({
-			type: 'order.ended', targetId: target.targetId, stage, status,
+			type: 'order.ended', targetId: target.targetId, stage, status: reply?.status,
 		});
 	};
 
@@ -61,9 +65,9 @@
 		dispatch({type: 'usage.sealEnded', result: reply.ok ? {kind: 'written', version: reply.val, sealed} : {kind: 'failed'}});
 	};
 
-	const sendUsageReport = async ({windowId, counts, fence}: EffectOf<'usage.report'>) => {
+	const sendUsageReport = async ({windowId, counts, fence, remainingTermMs}: EffectOf<'usage.report'>) => {
 		const status = await ports.reportUsage({
-			windowId, counts, holder: instanceId, fence,
+			windowId, counts, holder: instanceId, fence, timeoutMs: remainingTermMs,
 		});
 		dispatch({type: 'usage.reportEnded', windowId, status});
 	};
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -6,8 +6,8 @@
 	readonly push: (chunk: Buffer) => Buffer | undefined;
 	/** Returns the identifier of the last complete event that has one. */
 	readonly getLastEventId: () => string | undefined;
-	/** Whether bytes of an incomplete event are buffered. */
-	readonly hasIncompleteEvent: () => boolean;
+	/** Returns the number of buffered bytes, which belong to an incomplete event. */
+	readonly countIncompleteBytes: () => number;
 };
 
 const EVENT_END = '\n\n';
@@ -39,6 +39,6 @@
 			return completeEvents;
 		},
 		getLastEventId: () => lastEventId,
-		hasIncompleteEvent: () => incompleteEvent.length > 0,
+		countIncompleteBytes: () => incompleteEvent.length,
 	};
 }
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -33,6 +33,8 @@
 			sequence += 1;
 			const prefixUses = state.unreportedPrefixUses;
 			state.unreportedPrefixUses = [];
+			const newlyLeaving = state.unreportedLeaving;
+			state.unreportedLeaving = [];
 			const hasFullUsage = state.isStopping || performance.now() - fullUsageReportedAtMs >= FULL_USAGE_INTERVAL_MS;
 			if (hasFullUsage) {
 				fullUsageReportedAtMs = performance.now();
@@ -46,6 +48,8 @@
 				wallMs: readWallClock(),
 				work: listWork(state),
 				prefixUses,
+				// The complete list makes up for a lost report.
+				leaving: hasFullUsage ? listLeaving(state) : newlyLeaving,
 				crashes: state.poisonRequests.takeUpdates(),
 				usage: state.usage.takeLocalCounts(state.clock.toMedianTime(readWallClock()), hasFullUsage),
 			};
@@ -66,6 +70,11 @@
 	};
 }
 
+/** Lists the registered targets that told this entry or a peer that they are about to stop. */
+function listLeaving({catalog}: ServingState): PeerReport['leaving'] {
+	return [...catalog.noticedLeaving].filter(([targetId, startedAtMs]) => catalog.registrations.get(targetId)?.record.startedAtMs === startedAtMs);
+}
+
 function listWork({placement}: ServingState): PeerReport['work'] {
 	const work: Array<PeerReport['work'][number]> = [];
 	for (const [targetId, {localWork}] of placement.targets) {
--- a/packages/daemon/src/direct/createResetDetector.ts
+++ b/packages/daemon/src/direct/createResetDetector.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {buildConnector} from 'undici';
 
 /** Distinguishes a response that ended with its connection from one whose connection was reset. */
@@ -14,9 +15,9 @@
  * runs after the one that is added here, in the same event loop iteration. When the
  * client reports the end of such a response, `isHandlingReset` is therefore true.
  *
- * @param options - connect timeout
+ * @param options - `timeoutMs` is the connect timeout; `onConnected` receives each new connection
  */
-export function createResetDetector({timeoutMs}: {timeoutMs: number}): ResetDetector {
+export function createResetDetector({timeoutMs, onConnected}: {timeoutMs: number; onConnected?: (socket: Socket) => void}): ResetDetector {
 	const connectSocket = buildConnector({timeout: timeoutMs});
 	let isHandling = false;
 	const recordReset = () => {
@@ -30,6 +31,10 @@
 		connect(options, callback) {
 			connectSocket(options, (...connectResult) => {
 				const socket = connectResult[1];
+				if (socket !== null) {
+					onConnected?.(socket);
+				}
+
 				socket?.on('error', recordReset);
 				socket?.on('end', () => {
 					// A reset that arrives together with the last bytes is reported as `end`, but the socket has no remote address any more.
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -1,11 +1,14 @@
 import {type Dispatcher, Pool} from 'undici';
 import {type TargetRecord} from '@damaskspool/core';
+import {createProgressGuard, type ProgressGuard} from './createProgressGuard.js';
 import {createResetDetector} from './createResetDetector.js';
 
 /** Connection pools of targets. A target identifier stands for one incarnation of a target. */
 export type TargetPools = {
 	/** Whether the current event loop iteration handles the reset of a connection. */
 	readonly isHandlingReset: () => boolean;
+	/** Records that bytes of a connection were part of a response; see {@link ProgressGuard}. */
+	readonly recordProgress: ProgressGuard['recordProgress'];
 	/** Returns the pool of a target; replaces it if the address, the connection limit or the idle timeout has changed. */
 	readonly resolve: (target: TargetRecord, maxConnections: number) => Dispatcher;
 	/** Records that a connection failed before a response. Targets may be dropping idle connections, so all idle timeouts are shortened for a while. */
@@ -29,7 +32,8 @@
 
 /** Creates an empty set of connection pools. */
 export function createTargetPools(): TargetPools {
-	const resetDetector = createResetDetector({timeoutMs: CONNECT_TIMEOUT_MS});
+	const progressGuard = createProgressGuard();
+	const resetDetector = createResetDetector({timeoutMs: CONNECT_TIMEOUT_MS, onConnected: progressGuard.watchSocket});
 	const pools = new Map<string, {address: string; pool: Pool; maxConnections: number; idleTimeoutMs: number}>();
 	let shortIdleUntilMs = 0;
 	const release = (pool: Pool) => {
@@ -39,6 +43,7 @@
 
 	return {
 		isHandlingReset: resetDetector.isHandlingReset,
+		recordProgress: progressGuard.recordProgress,
 		resolve(target, maxConnections) {
 			const existing = pools.get(target.targetId);
 			const isPlain = target.stage === undefined;
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -12,6 +12,7 @@
 	z.number(),
 	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
+	z.array(z.tuple([z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.string()])),
 	z.array(z.tuple([z.number(), countsSchema])),
 ]);
@@ -22,7 +23,7 @@
 /**
  * Formats a report as a tuple.
  *
- * @returns entry, process, zone, sequence, wall clock time, work, uses, crashes, usage
+ * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportTuple {
 	return [
@@ -33,6 +34,7 @@
 		report.wallMs,
 		report.work.map(work => [...work]),
 		report.prefixUses.map(use => [...use]),
+		report.leaving.map(([targetId, startedAtMs]) => [targetId, startedAtMs]),
 		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
 		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
 	];
@@ -46,8 +48,8 @@
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
 	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
-		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, crashes, usage]) => ({
-			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, crashes, usage,
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, usage,
 		}))
 		: undefined;
 }
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
-import {ATTEMPT_RESULTS, type AttemptResult, type SendServingAttempt} from '@damaskspool/core';
+import {
+	ATTEMPT_RESULTS, type AttemptResult, type SendServingAttempt, type TargetNotice,
+} from '@damaskspool/core';
 import {type ResponseHead, type DeploymentPorts} from '@damaskspool/runtime';
 import {type CallHandle} from './callHandle.js';
 import {createEventSplitter} from './createEventSplitter.js';
@@ -23,6 +25,12 @@
 	readonly ports: DeploymentPorts;
 	/** Whether the current event loop iteration handles the reset of a connection. */
 	readonly isHandlingReset: () => boolean;
+	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
+	readonly isPaused: () => boolean;
+	/** Called when bytes of the connection were part of a response. */
+	readonly onProgress: () => void;
+	/** Called with what the target says about itself in the head of its response, before the attempt ends. */
+	readonly onNotice: (notice: TargetNotice) => void;
 	readonly onResponseBegan: () => void;
 	/** Called instead of `onEnded` for a prefill; `handleId` identifies the KV cache of the prompt, or is undefined after a failure. */
 	readonly onPrefillEnded: (handleId: string | undefined, result: AttemptResult) => void;
@@ -47,6 +55,8 @@
 const EVENT_STREAM = 'text/event-stream';
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Bytes of a body that are read after the attempt has ended, so that the connection can be reused. */
+const MAX_DISCARDED_BYTES = 65_536;
 
 /**
  * Sends a request to a target and forwards the response to the caller.
@@ -55,13 +65,14 @@
  * @returns a function that cancels the attempt; no callback of `options` is called after that
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {attempt, handle, pool, ports, isHandlingReset, onResponseBegan, onPrefillEnded, onEnded} = options;
+	const {attempt, handle, pool, ports, isHandlingReset, isPaused, onProgress, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isSent = false;
 	let hasBegun = false;
 	let isDelimited = true;
+	let discardedBytes = 0;
 	let sink: BodySink | undefined;
 
 	const finish = (result: AttemptResult, detail: string, hasRun = hasBegun) => {
@@ -97,42 +108,44 @@
 		}
 	};
 
-	const createPrefillSink = (status: number, {isNotRun}: ResponseHead): BodySink => {
+	/** Creates a sink that buffers a body. A body that exceeds the buffer fails the attempt. */
+	const createBoundedSink = (onBody: (body: Buffer) => void): BodySink => {
 		const chunks: Buffer[] = [];
+		let bytes = 0;
 		return {
-			write: chunk => chunks.push(chunk) > 0,
-			end() {
-				const handleId = status === 200 ? ports.parsePrefillResponse(Buffer.concat(chunks).toString('utf8')) : undefined;
-				if (handleId === undefined || isFinished) {
-					finish(isNotRun ? ATTEMPT_RESULTS.notRun : ATTEMPT_RESULTS.unknown, `status ${status} of a prefill`);
-					return;
+			write(chunk) {
+				bytes += chunk.length;
+				if (bytes > MAX_BUFFERED_BYTES) {
+					fail('the response is longer than any response of its kind');
+				} else {
+					chunks.push(chunk);
 				}
 
-				isFinished = true;
-				onPrefillEnded(handleId, ATTEMPT_RESULTS.answered);
+				return true;
+			},
+			end() {
+				onBody(Buffer.concat(chunks));
 			},
 		};
 	};
 
-	const createRefusalSink = (status: number): BodySink => ({
-		write: () => true,
-		end() {
-			finish(ATTEMPT_RESULTS.notRun, `status ${status}`, false);
-		},
+	const createPrefillSink = (status: number): BodySink => createBoundedSink(body => {
+		const handleId = status === 200 ? ports.parsePrefillResponse(body.toString('utf8')) : undefined;
+		if (handleId === undefined) {
+			finish(ATTEMPT_RESULTS.unknown, `status ${status} of a prefill`);
+			return;
+		}
+
+		isFinished = true;
+		onPrefillEnded(handleId, ATTEMPT_RESULTS.answered);
 	});
 
-	const createFailureSink = (status: number, head: ResponseHead): BodySink => {
-		const chunks: Buffer[] = [];
-		return {
-			write: chunk => chunks.push(chunk) > 0,
-			end() {
-				handle.bufferedResponse = {
-					attemptId: attempt.attemptId, status, headers: head.headers, body: Buffer.concat(chunks), isSigned: head.isSigned && !NOT_RUN_STATUSES.has(status),
-				};
-				finish(ATTEMPT_RESULTS.failed, `status ${status}`, true);
-			},
+	const createFailureSink = (status: number, head: ResponseHead): BodySink => createBoundedSink(body => {
+		handle.bufferedResponse = {
+			attemptId: attempt.attemptId, status, headers: head.headers, body, isSigned: head.isSigned && !NOT_RUN_STATUSES.has(status),
 		};
-	};
+		finish(ATTEMPT_RESULTS.failed, `status ${status}`, true);
+	});
 
 	const writeHead = (status: number, {headers}: ResponseHead, length?: number) => {
 		if (!response.headersSent) {
@@ -145,6 +158,11 @@
 		return {
 			write(chunk) {
 				const completeEvents = splitter.push(chunk);
+				if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
+					fail('an event of the stream is longer than any event');
+					return true;
+				}
+
 				if (completeEvents === undefined) {
 					return true;
 				}
@@ -155,7 +173,7 @@
 				return response.write(completeEvents);
 			},
 			end() {
-				if (splitter.hasIncompleteEvent()) {
+				if (splitter.countIncompleteBytes() > 0) {
 					finish(ATTEMPT_RESULTS.unknown, 'the stream ended within an event');
 					return;
 				}
@@ -201,18 +219,9 @@
 		};
 	};
 
-	const pickSink = (status: number, headers: Headers): BodySink | undefined => {
-		const head = ports.parseResponseHead(status, headers);
-		if (head.isNotRun) {
-			return attempt.isPrefillOnly ? createPrefillSink(status, head) : createRefusalSink(status);
-		}
-
-		if (head.requestId !== undefined && head.requestId !== handle.request.call.requestId) {
-			return undefined;
-		}
-
+	const pickSink = (status: number, head: ResponseHead, headers: Headers): BodySink | undefined => {
 		if (attempt.isPrefillOnly) {
-			return createPrefillSink(status, head);
+			return createPrefillSink(status);
 		}
 
 		if (status >= MIN_FAILURE_STATUS || REFUSING_STATUSES.has(status)) {
@@ -226,6 +235,26 @@
 		return String(headers['content-type']).startsWith(EVENT_STREAM) ? createStreamSink(status, head) : createBufferingSink(status, head);
 	};
 
+	const receiveHead = (status: number, headers: Headers) => {
+		const head = ports.parseResponseHead(status, headers);
+		onNotice(head.notice);
+		// A late copy of the answer to an earlier request proves nothing about this one, even if it says "not run".
+		if (head.requestId !== undefined && head.requestId !== handle.request.call.requestId) {
+			fail('the response belongs to another request');
+			return;
+		}
+
+		if (head.isNotRun) {
+			finish(ATTEMPT_RESULTS.notRun, `status ${status}`, false);
+			return;
+		}
+
+		sink = pickSink(status, head, headers);
+		if (sink === undefined) {
+			fail('the response is not signed');
+		}
+	};
+
 	response.on('drain', resume);
 	pool.dispatch({
 		path: handle.request.call.path,
@@ -237,24 +266,30 @@
 	}, {
 		onRequestStart(startedController) {
 			controller = startedController;
-			isSent = true;
-			if (isFinished) {
+			if (isFinished || isPaused()) {
 				startedController.abort(new Error('the attempt was cancelled before the request was sent'));
+				return;
 			}
+
+			isSent = true;
 		},
 		onResponseStart(_started, status, headers) {
 			if (isFinished || status < 200) {
 				return;
 			}
 
+			onProgress();
 			isDelimited = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-			sink = pickSink(status, headers);
-			if (sink === undefined) {
-				fail('the response is not signed or belongs to another request');
-			}
+			receiveHead(status, headers);
 		},
 		onResponseData(started, chunk) {
-			if (!isFinished && sink?.write(chunk) === false) {
+			onProgress();
+			if (isFinished) {
+				discardedBytes += chunk.length;
+				if (discardedBytes > MAX_DISCARDED_BYTES) {
+					started.abort(new Error('the rest of the response is not needed'));
+				}
+			} else if (sink?.write(chunk) === false) {
 				started.pause();
 			}
 		},
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -1,7 +1,7 @@
 /** Interface between an entry and the platform that it runs on. A platform adapter implements it. */
 import {type IncomingMessage} from 'node:http';
 import {
-	type CallRequest, type SendServingAttempt, type ServingConfiguration, type Stage, type TargetRecord, type UsageCountsByCustomer,
+	type CallRequest, type SendServingAttempt, type ServingConfiguration, type Stage, type TargetNotice, type TargetRecord, type UsageCountsByCustomer,
 } from '@damaskspool/core';
 import {type Failure, type Result} from '@damaskspool/shared';
 
@@ -50,12 +50,31 @@
 	readonly isNotRun: boolean;
 	/** Identifier of the request to which the response belongs. */
 	readonly requestId: string | undefined;
+	/** What the target says about itself. */
+	readonly notice: TargetNotice;
 	/** Whether the response carries the target's signature header. */
 	readonly isSigned: boolean;
 	/** Headers to forward to the caller, as alternating names and values. */
 	readonly headers: readonly string[];
 };
 
+/** Answer of a target to a control call. */
+export type TargetReply = {readonly status: number; readonly notice: TargetNotice};
+
+/** Authority under which a control call is made. */
+type CallAuthority = {
+	readonly holder: string;
+	readonly fence: number;
+	/** Remaining term of the duty: a call that is still waiting then is given up. */
+	readonly timeoutMs: number;
+};
+
+/** Order that changes the stage of a target. */
+export type StageOrder = CallAuthority & {readonly target: TargetRecord; readonly stage: Stage};
+
+/** Report of the usage of a window. */
+export type UsageReport = CallAuthority & {readonly windowId: number; readonly counts: UsageCountsByCustomer};
+
 /** Functions and data of the platform, in terms of this system. */
 export type DeploymentPorts = {
 	readonly store: MetadataStore;
@@ -78,12 +97,12 @@
 	/** Returns the headers with which a refusal states the retry delay. Returns none if `retryAfterMs` is undefined. */
 	readonly formatRefusalHeaders: (retryAfterMs: number | undefined) => Readonly<Record<string, string>>;
 	readonly readinessPath: string;
-	/** Releases a KV cache handle at a target. Returns the HTTP status, or undefined if no response arrived. */
-	readonly releaseKvHandle: (address: string, handleId: string) => Promise<number | undefined>;
-	/** Orders a target to change its stage. `fence` is the fencing token of the duty. Returns the HTTP status, or undefined if no response arrived. */
-	readonly orderStage: (order: {readonly target: TargetRecord; readonly stage: Stage; readonly holder: string; readonly fence: number}) => Promise<number | undefined>;
-	/** Reports the usage of a window to the platform. `fence` is the fencing token of the duty. Returns the HTTP status, or undefined if no response arrived. */
-	readonly reportUsage: (report: {readonly windowId: number; readonly counts: UsageCountsByCustomer; readonly holder: string; readonly fence: number}) => Promise<number | undefined>;
+	/** Releases a KV cache handle at a target. Returns undefined if no response arrived. */
+	readonly releaseKvHandle: (address: string, handleId: string) => Promise<TargetReply | undefined>;
+	/** Orders a target to change its stage. `fence` is the fencing token of the duty, and the call ends after `timeoutMs`. Returns undefined if no response arrived. */
+	readonly orderStage: (order: StageOrder) => Promise<TargetReply | undefined>;
+	/** Reports the usage of a window to the platform. `fence` is the fencing token of the duty, and the call ends after `timeoutMs`. Returns the HTTP status, or undefined if no response arrived. */
+	readonly reportUsage: (report: UsageReport) => Promise<number | undefined>;
 	readonly close: () => Promise<void>;
 };
 
