Order what the store says by era and revision

Cause: a store that comes back from a copy gives out revisions again. A watch went on from a revision that stood for something else; a conditional write could succeed by accident; a forgotten lease let a second holder act with the first one's fencing number; a sealed and reported window was sealed again with other figures; targets that had left came back with the copy. The client of the store drops replies of earlier eras, refuses versions of earlier eras, and tells the entry of each new era; entries tell each other. On a new era: every list is read anew; leases are forgotten and a full term passes before a bid; fencing numbers of an era lie above all of earlier ones; figures that any entry has seen sealed are sealed again unchanged, windows that were due before the era began are left out, windows with two figures are never reported; targets that left stay left until they register again. Suspended time, which the monotonic clock leaves out, shortens terms.

--- a/packages/core/src/lease/leaseHandlers.ts
+++ b/packages/core/src/lease/leaseHandlers.ts
@@ -16,7 +16,13 @@
 export type LeasePeer = {readonly instanceId: string; readonly availabilityZone: string; readonly region: string};
 
 type TimedEvent<Type extends string> = {readonly type: Type; readonly nowMs: number};
-type LeaseHandlerEvent = LeaseEvent | TimedEvent<'instances.listed'> | TimedEvent<'tick'> | TimedEvent<'stop.requested'>;
+type LeaseHandlerEvent
+	= | LeaseEvent
+		| TimedEvent<'instances.listed'>
+		| TimedEvent<'tick'>
+		| TimedEvent<'stop.requested'>
+		| (TimedEvent<'store.eraChanged'> & {readonly era: number})
+		| (TimedEvent<'process.suspended'> & {readonly suspendedMs: number});
 type LeaseHandlerEffect
 	= | LeaseEffect
 		| {readonly type: 'decision.record'; readonly name: string; readonly subject: string; readonly detail: Readonly<Record<string, string | number>>};
@@ -27,6 +33,8 @@
 const CANDIDATE_COUNT = 3;
 /** Interval between reads by an entry that is not a candidate, in case its rank is out of date. */
 const BACKGROUND_INTERVAL_MS = 30 * SECOND_MS;
+/** Epochs of one era of the store. An epoch of a later era is above all epochs of earlier ones, also those that the store has forgotten. */
+const EPOCHS_PER_ERA = 1_000_000;
 /** Bids are delayed by this time for each duty already held, which distributes duties over entries. */
 const BID_DELAY_PER_HELD_DUTY_MS = 1500;
 
@@ -74,6 +82,21 @@
 		return [readLease(lease, duty)];
 	},
 
+	'store.eraChanged'({lease}, {era, nowMs}) {
+		lease.storeEra = era;
+		return [...lease.duties.values()].flatMap(duty => forgetDuty(duty, {era, nowMs}));
+	},
+
+	// The monotonic clock does not count the suspended time, but other entries do. Writes without a reply were sent before it.
+	'process.suspended'({lease}, {suspendedMs}) {
+		for (const duty of lease.duties.values()) {
+			duty.held &&= {...duty.held, expiresAtMs: duty.held.expiresAtMs - suspendedMs};
+			duty.unconfirmedWrites = duty.unconfirmedWrites.map(write => ({...write, sentAtMs: write.sentAtMs - suspendedMs}));
+		}
+
+		return [];
+	},
+
 	'stop.requested'({lease}, {nowMs}) {
 		return [...lease.duties.values()].flatMap(duty => releaseDuty(lease, duty, nowMs));
 	},
@@ -128,6 +151,27 @@
 	return duty;
 }
 
+/**
+ * Forgets what an earlier era of the store said about a duty, and changes it in place. The store may have lost a lease
+ * that it acknowledged, so a full term passes before this entry bids again. Replies to calls in progress are ignored.
+ */
+function forgetDuty(duty: DutyState, {era, nowMs}: {era: number; nowMs: number}): readonly LeaseHandlerEffect[] {
+	const {held} = duty;
+	duty.lastEpoch = Math.max(duty.lastEpoch, duty.record?.epoch ?? 0, ...duty.unconfirmedWrites.map(({record}) => record.epoch));
+	duty.held = undefined;
+	duty.version = undefined;
+	duty.record = undefined;
+	duty.unconfirmedWrites = [];
+	duty.callId = undefined;
+	duty.changeSeenAtMs = nowMs;
+	duty.nextCallAtMs = nowMs;
+	return held === undefined
+		? []
+		: [{
+			type: 'decision.record', name: 'lease.lost', subject: duty.name, detail: {era, epoch: held.epoch},
+		}];
+}
+
 type StoredLease = {readonly version: number; readonly record: LeaseRecord | undefined};
 
 function applyRead(lease: LeaseState, duty: DutyState, {version, record}: StoredLease, nowMs: number): readonly LeaseHandlerEffect[] {
@@ -190,7 +234,9 @@
  * least one call interval passes before the bid.
  */
 function computeBidTime(lease: LeaseState, duty: DutyState, nowMs: number): number {
-	const termMs = duty.record === undefined ? 0 : duty.record.durationMs + LEASE_MARGIN_MS;
+	// A store that states eras may have lost the lease of a holder, so a missing record proves nothing.
+	const unknownTermMs = lease.storeEra === 0 ? 0 : lease.durationMs + LEASE_MARGIN_MS;
+	const termMs = duty.record === undefined ? unknownTermMs : duty.record.durationMs + LEASE_MARGIN_MS;
 	const earliestMs = duty.changeSeenAtMs + termMs + (countHeldDuties(lease, nowMs) * BID_DELAY_PER_HELD_DUTY_MS);
 	const lastUnconfirmed = duty.unconfirmedWrites.at(-1);
 	return lastUnconfirmed === undefined ? earliestMs : Math.max(earliestMs, lastUnconfirmed.sentAtMs + CALL_INTERVAL_MS);
@@ -210,7 +256,7 @@
 	const callId = createCallId(lease);
 	const record: LeaseRecord = {
 		holder: lease.instanceId,
-		epoch: duty.held?.epoch ?? (duty.record?.epoch ?? 0) + 1,
+		epoch: duty.held?.epoch ?? Math.max(duty.record?.epoch ?? 0, duty.lastEpoch, lease.storeEra * EPOCHS_PER_ERA) + 1,
 		nonce: callId,
 		durationMs,
 	};
--- a/packages/core/src/lease/leaseState.ts
+++ b/packages/core/src/lease/leaseState.ts
@@ -33,6 +33,8 @@
 	/** Version last seen: zero if the object does not exist, undefined before the first read. */
 	version: number | undefined;
 	record: LeaseRecord | undefined;
+	/** Highest epoch seen in earlier eras of the store. */
+	lastEpoch: number;
 	/** Time on the local monotonic clock when the version was last seen to change. */
 	changeSeenAtMs: number;
 	held: HeldLease | undefined;
@@ -57,6 +59,8 @@
 	 */
 	readonly isReleasedOnStop: boolean;
 	readonly duties: Map<string, DutyState>;
+	/** Latest era of the store. Zero for a store that never comes back from an older copy. */
+	storeEra: number;
 	callCount: number;
 };
 
@@ -104,6 +108,7 @@
 		durationMs,
 		isReleasedOnStop,
 		duties: new Map(duties.map(({name, scope}) => [name, createDuty(name, scope)])),
+		storeEra: 0,
 		callCount: 0,
 	};
 }
@@ -115,6 +120,7 @@
 		rank: 0,
 		version: undefined,
 		record: undefined,
+		lastEpoch: 0,
 		changeSeenAtMs: 0,
 		held: undefined,
 		callId: undefined,
--- a/packages/core/src/membership/targetCatalog.ts
+++ b/packages/core/src/membership/targetCatalog.ts
@@ -13,6 +13,10 @@
 	readonly registrations: Map<string, {record: TargetRecord; missingSinceMs: number | undefined}>;
 	/** Targets that told this entry in an answer that they are about to stop, with their start time, by identifier. */
 	readonly noticedLeaving: Map<string, number>;
+	/** Start time of targets whose registration was removed, by identifier. The oldest removal comes first. */
+	readonly removedTargets: Map<string, number>;
+	/** Whether the next complete list is the first of an era: the older copy of the store may contain targets that were removed. */
+	isEraNew: boolean;
 	/** Time of the last failed call to the store. */
 	storeFailedAtMs: number;
 };
@@ -20,12 +24,14 @@
 /** Time within which a live target registers again after the store recovers. */
 const REREGISTRATION_GRACE_MS = 2200;
 
-/** Maximum number of targets that are remembered as leaving. The oldest is dropped first; its process has long ended. */
-const MAX_NOTICED_LEAVING = 4096;
+/** Maximum number of targets that are remembered as leaving or as removed. The oldest is dropped first; its process has long ended. */
+const MAX_REMEMBERED_TARGETS = 4096;
 
 /** Creates an empty catalog. */
 export function createTargetCatalog(): TargetCatalog {
-	return {registrations: new Map(), noticedLeaving: new Map(), storeFailedAtMs: Number.NEGATIVE_INFINITY};
+	return {
+		registrations: new Map(), noticedLeaving: new Map(), removedTargets: new Map(), isEraNew: false, storeFailedAtMs: Number.NEGATIVE_INFINITY,
+	};
 }
 
 /**
@@ -51,7 +57,14 @@
 		}
 	}
 
+	const isFirstOfEra = catalog.isEraNew && change.isComplete;
+	catalog.isEraNew &&= !change.isComplete;
 	for (const record of change.targets) {
+		if (isFirstOfEra && catalog.removedTargets.get(record.targetId) === record.startedAtMs) {
+			continue;
+		}
+
+		catalog.removedTargets.delete(record.targetId);
 		const previous = catalog.registrations.get(record.targetId)?.record;
 		const wasLeaving = (previous?.isLeaving === true && previous.startedAtMs === record.startedAtMs)
 			|| catalog.noticedLeaving.get(record.targetId) === record.startedAtMs;
@@ -72,10 +85,7 @@
 		return false;
 	}
 
-	catalog.noticedLeaving.set(targetId, startedAtMs);
-	if (catalog.noticedLeaving.size > MAX_NOTICED_LEAVING) {
-		catalog.noticedLeaving.delete(catalog.noticedLeaving.keys().next().value!);
-	}
+	rememberTarget(catalog.noticedLeaving, {targetId, startedAtMs});
 
 	const registration = catalog.registrations.get(targetId);
 	if (registration?.record.startedAtMs === startedAtMs) {
@@ -85,6 +95,26 @@
 	return true;
 }
 
+/**
+ * Records that the store came back from an older copy. Registrations that the copy lacks are kept until the targets have
+ * had time to register again. Targets that were removed before stay removed until they register again. Changes the
+ * catalog in place.
+ */
+export function beginEra(catalog: TargetCatalog, nowMs: number): void {
+	catalog.isEraNew = true;
+	catalog.storeFailedAtMs = nowMs;
+}
+
+/** Remembers one incarnation of a target in a bounded map, which changes in place. */
+function rememberTarget(targets: Map<string, number>, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): void {
+	targets.delete(targetId);
+	targets.set(targetId, startedAtMs);
+	const [oldest] = targets.keys();
+	if (targets.size > MAX_REMEMBERED_TARGETS && oldest !== undefined) {
+		targets.delete(oldest);
+	}
+}
+
 /**
  * Removes the targets whose registration is missing and whose time to register
  * again after a store failure is over. Changes the catalog in place.
@@ -93,9 +123,10 @@
  */
 export function expireRegistrations(catalog: TargetCatalog, nowMs: number): boolean {
 	let isChanged = false;
-	for (const [targetId, {missingSinceMs}] of catalog.registrations) {
+	for (const [targetId, {record, missingSinceMs}] of catalog.registrations) {
 		if (missingSinceMs !== undefined && nowMs >= catalog.storeFailedAtMs + REREGISTRATION_GRACE_MS) {
 			catalog.registrations.delete(targetId);
+			rememberTarget(catalog.removedTargets, record);
 			isChanged = true;
 		}
 	}
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -1,7 +1,7 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {rankDuties} from '../lease/leaseHandlers.js';
 import {
-	applyRegistrations, expireRegistrations, listTargets, recordLeaving,
+	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
 import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
@@ -9,6 +9,8 @@
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
 const SHARED_PREFIX_CACHE_SHARE = 0.6;
+/** Eras by which a peer's knowledge of the store may be ahead. */
+const MAX_ERAS_AHEAD = 16;
 /** A peer without a report for this long no longer shares budgets and duties. */
 const PEER_EXPIRY_MS = 20 * PEER_TIMEOUT_MS;
 
@@ -23,6 +25,22 @@
 		state.catalog.storeFailedAtMs = nowMs;
 		return [];
 	},
+	'store.eraChanged'(state, {era, nowMs}) {
+		const previousEra = state.storeEra;
+		state.storeEra = era;
+		if (previousEra > 0) {
+			beginEra(state.catalog, nowMs);
+		}
+
+		return [{
+			type: 'decision.record', name: 'store.era', subject: state.instanceId, detail: {era, previousEra},
+		}];
+	},
+	'process.suspended'(state, {suspendedMs}) {
+		return [{
+			type: 'decision.record', name: 'process.suspended', subject: state.instanceId, detail: {suspendedMs},
+		}];
+	},
 	'target.noticed'(state, {target, notice, nowMs}) {
 		const effects: ServingEffect[] = [];
 		const placed = state.placement.targets.get(target.targetId);
@@ -72,10 +90,10 @@
 
 		state.poisonRequests.merge(report.crashes, nowMs);
 		state.usage.merge(report);
-		const leavingEffects = mergeLeaving(state, report);
+		const effects = [...mergeLeaving(state, report), ...mergeEra(state, report)];
 		const lastReport = state.placement.peers.get(report.entryId);
 		if (lastReport?.processId === report.processId && report.sequence <= lastReport.sequence) {
-			return leavingEffects;
+			return effects;
 		}
 
 		state.placement.peers.set(report.entryId, {
@@ -88,13 +106,13 @@
 		});
 		state.clock.recordOffset(report.entryId, report.wallMs - wallMs);
 		if (state.membership.peers.has(report.entryId)) {
-			return leavingEffects;
+			return effects;
 		}
 
 		state.membership.peers.set(report.entryId, {
 			instanceId: report.entryId, availabilityZone: report.availabilityZone, region: '',
 		});
-		return [...leavingEffects, {
+		return [...effects, {
 			type: 'decision.record', name: 'peer.found', subject: report.entryId, detail: {processId: report.processId},
 		}];
 	},
@@ -136,6 +154,13 @@
 		];
 }
 
+/** Adopts the era of a peer that has seen the store's return before this entry. A value far ahead is not an era that the store reached. */
+function mergeEra(state: ServingState, {storeEra}: PeerReport): readonly ServingEffect[] {
+	return state.storeEra > 0 && storeEra > state.storeEra && storeEra <= state.storeEra + MAX_ERAS_AHEAD
+		? [{type: 'store.recordEra', era: storeEra}]
+		: [];
+}
+
 function applyCatalog(state: ServingState): readonly ServingEffect[] {
 	const targets = listTargets(state.catalog);
 	applyTargets(state.placement, targets);
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -84,6 +84,8 @@
 		| {readonly type: 'usage.seal'; readonly sealed: SealedUsage; readonly expectedVersion: number}
 		| {readonly type: 'usage.read'}
 		| {readonly type: 'usage.report'; readonly windowId: number; readonly counts: UsageCountsByCustomer; readonly fence: number; readonly remainingTermMs: number}
+		/** Records an era of the store that a peer has seen. */
+		| {readonly type: 'store.recordEra'; readonly era: number}
 		/** Reports changed work to peers. The runtime combines several such effects into one message. */
 		| {readonly type: 'work.report'}
 		/** Writes one log line. */
@@ -111,6 +113,10 @@
 	readonly leaving: ReadonlyArray<readonly [targetId: string, startedAtMs: number]>;
 	/** Requests that crashed targets, and requests that were answered after such a crash. */
 	readonly crashes: readonly CrashUpdate[];
+	/** Latest era of the metadata store that the entry has seen. */
+	readonly storeEra: number;
+	/** Figures that the entry has sealed lately, by window. */
+	readonly sealed: ReadonlyArray<readonly [windowId: number, counts: UsageCountsByCustomer]>;
 	/** Counts of the latest windows up to now. */
 	readonly usage: ReadonlyArray<readonly [windowId: number, counts: UsageCountsByCustomer]>;
 };
@@ -138,6 +144,10 @@
 		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice}>
 		/** A call to the store failed, so registrations may have expired unnoticed. */
 		| Timed<'store.failed', {readonly detail: string}>
+		/** The store states its first era, or came back from an older copy: what earlier eras said may be gone. */
+		| Timed<'store.eraChanged', {readonly era: number; readonly wallMs: number}>
+		/** The process did not run for a time that its monotonic clock does not count. */
+		| Timed<'process.suspended', {readonly suspendedMs: number}>
 		| Timed<'configuration.changed', {readonly configuration: ServingConfiguration}>
 		| Timed<'peer.reported', {readonly report: PeerReport; readonly wallMs: number}>
 		| Timed<'order.ended', {readonly targetId: string; readonly stage: Stage; readonly status: number | undefined}>
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -63,6 +63,8 @@
 	isStopping: boolean;
 	configuration: ServingConfiguration | undefined;
 	hasTargets: boolean;
+	/** Latest era of the metadata store; zero until a reply states one. */
+	storeEra: number;
 	readonly catalog: TargetCatalog;
 	readonly placement: PlacementState;
 	readonly placementSettings: PlacementSettings;
@@ -119,6 +121,7 @@
 		isStopping: false,
 		configuration: undefined,
 		hasTargets: false,
+		storeEra: 0,
 		catalog: createTargetCatalog(),
 		placement: createPlacementState({entryId: instanceId, availabilityZone}),
 		placementSettings: options.placementSettings ?? DEFAULT_PLACEMENT_SETTINGS,
--- a/packages/core/src/usage/requestUsage.ts
+++ b/packages/core/src/usage/requestUsage.ts
@@ -20,6 +20,21 @@
 	sealed: {version: number; windows: SealedUsage} | undefined;
 	/** Windows whose report the platform has accepted. */
 	readonly reportedWindows: Set<number>;
+	/** Figures that were sealed in any era of the store, by window, as this entry or a peer has seen them. */
+	readonly knownSealed: Map<number, UsageCountsByCustomer>;
+	/** Windows for which different figures were seen. None of them is reported. */
+	readonly disputedWindows: Set<number>;
+	/** Records sealed figures. Returns the windows that became disputed. */
+	readonly recordSealed: (windows: SealedUsage) => readonly number[];
+	/** Returns figures that this entry has sealed and not reported to its peers often enough. */
+	readonly takeSealedForPeers: () => PeerReport['sealed'];
+	/** Records that this entry has sealed windows, so that peers are told. */
+	readonly announceSealed: (windowIds: readonly number[]) => void;
+	/**
+	 * Wall-clock time at which this entry first saw the current era of the store. Windows that were due before may have
+	 * been sealed and reported in an earlier era.
+	 */
+	eraSeenAtWallMs: number;
 	/** Whether a read or write of the sealed figures is in progress. */
 	isStoreCallInFlight: boolean;
 	/** Windows whose report to the platform is in progress. */
@@ -28,6 +43,8 @@
 
 /** Number of windows whose counts are retained: enough to report them after a long outage. */
 const RETAINED_WINDOWS = 24;
+/** Number of reports to peers that carry the figures of a window that this entry has sealed. Reports may be lost. */
+const SEALED_ANNOUNCEMENTS = 3;
 /** Number of windows whose counts are sent to peers: the current one and those that may not be sealed yet. */
 const PEER_REPORT_WINDOWS = 2;
 
@@ -36,6 +53,10 @@
 	/** Counts by window, process and customer. */
 	const countsByWindow = new Map<number, Map<string, Record<string, number>>>();
 	const localProcessId = '';
+	const knownSealed = new Map<number, UsageCountsByCustomer>();
+	const disputedWindows = new Set<number>();
+	/** Remaining number of reports to peers, by window that this entry has sealed. */
+	const announcements = new Map<number, number>();
 	/** By window, the customers whose local counts changed since they were last sent to peers. */
 	const unsentCustomers = new Map<number, Set<string>>();
 
@@ -55,6 +76,50 @@
 	return {
 		windowMs,
 		sealed: undefined,
+		knownSealed,
+		disputedWindows,
+		eraSeenAtWallMs: Number.NEGATIVE_INFINITY,
+		recordSealed(windows) {
+			const newlyDisputed: number[] = [];
+			for (const [id, counts] of Object.entries(windows)) {
+				const windowId = Number(id);
+				const known = knownSealed.get(windowId);
+				if (known === undefined) {
+					knownSealed.set(windowId, counts);
+				} else if (!hasSameCounts(known, counts) && !disputedWindows.has(windowId)) {
+					disputedWindows.add(windowId);
+					newlyDisputed.push(windowId);
+				}
+			}
+
+			while (knownSealed.size > RETAINED_WINDOWS) {
+				knownSealed.delete(Math.min(...knownSealed.keys()));
+			}
+
+			return newlyDisputed;
+		},
+		announceSealed(windowIds) {
+			for (const windowId of windowIds) {
+				announcements.set(windowId, SEALED_ANNOUNCEMENTS);
+			}
+		},
+		takeSealedForPeers() {
+			const sealed: Array<PeerReport['sealed'][number]> = [];
+			for (const [windowId, remaining] of announcements) {
+				const counts = knownSealed.get(windowId);
+				if (counts !== undefined) {
+					sealed.push([windowId, counts]);
+				}
+
+				if (remaining > 1) {
+					announcements.set(windowId, remaining - 1);
+				} else {
+					announcements.delete(windowId);
+				}
+			}
+
+			return sealed;
+		},
 		reportedWindows: new Set(),
 		isStoreCallInFlight: false,
 		reportsInFlight: new Set(),
@@ -104,3 +169,8 @@
 		listWindows: () => [...countsByWindow.keys()].toSorted((left, right) => left - right),
 	};
 }
+
+function hasSameCounts(left: UsageCountsByCustomer, right: UsageCountsByCustomer): boolean {
+	const customers = Object.keys(left);
+	return customers.length === Object.keys(right).length && customers.every(customerId => left[customerId] === right[customerId]);
+}
--- a/packages/core/src/usage/requestUsageHandlers.ts
+++ b/packages/core/src/usage/requestUsageHandlers.ts
@@ -3,9 +3,12 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {CONTROL_DUTY, type ServingState} from '../serving/servingState.js';
 import {type SealedUsage, type ServingEffect, type ServingEvent} from '../serving/servingMessages.js';
+import {type RequestUsage} from './requestUsage.js';
 
 /** Time between a window's end and its sealing. The last counts of every entry arrive within it. */
 const SEAL_DELAY_MS = 2 * SECOND_MS;
+/** Difference that clocks of entries may have when they judge whether a window was due. */
+const CLOCK_MARGIN_MS = SECOND_MS;
 /** Maximum number of sealed windows retained in the store. A later holder of the duty may still have to report them. */
 const MAX_SEALED_WINDOWS = 12;
 /** Minimum remaining lease term to start a call that needs the duty. */
@@ -39,6 +42,23 @@
 		usage.isStoreCallInFlight = false;
 		// After a conflict, or a write whose outcome is unknown, the sealed figures are read again.
 		usage.sealed = result.kind === 'failed' ? undefined : {version: result.version, windows: result.sealed};
+		if (result.kind === 'failed') {
+			return [];
+		}
+
+		if (result.kind === 'written') {
+			usage.announceSealed(Object.keys(result.sealed).map(Number).filter(windowId => !usage.knownSealed.has(windowId)));
+		}
+
+		return recordSealed(usage, result.sealed, 'store');
+	},
+	'peer.reported'({usage}, {report}) {
+		return recordSealed(usage, Object.fromEntries(report.sealed), report.entryId);
+	},
+	'store.eraChanged'({usage, clock}, {wallMs}) {
+		usage.sealed = undefined;
+		usage.isStoreCallInFlight = false;
+		usage.eraSeenAtWallMs = clock.toMedianTime(wallMs);
 		return [];
 	},
 	'usage.reportEnded'({usage, lease}, {windowId, status}) {
@@ -67,19 +87,42 @@
 		return [{type: 'usage.read'}];
 	}
 
-	const lastSealed = Math.max(0, ...Object.keys(sealed.windows).map(Number));
-	const dueWindowIds = usage.listWindows().filter(windowId =>
-		windowId > lastSealed && ((windowId + 1) * usage.windowMs) + SEAL_DELAY_MS <= wallMs);
-	if (dueWindowIds.length === 0) {
+	const newFigures = {...listForgottenFigures(usage, sealed.windows), ...listDueFigures(usage, sealed.windows, wallMs)};
+	if (Object.keys(newFigures).length === 0) {
 		return [];
 	}
 
-	const merged: SealedUsage = {...sealed.windows, ...Object.fromEntries(dueWindowIds.map(windowId => [String(windowId), usage.sum(windowId)]))};
+	const merged: SealedUsage = {...sealed.windows, ...newFigures};
 	const retained = Object.entries(merged).toSorted(([left], [right]) => Number(left) - Number(right)).slice(-MAX_SEALED_WINDOWS);
 	usage.isStoreCallInFlight = true;
 	return [{type: 'usage.seal', sealed: Object.fromEntries(retained), expectedVersion: sealed.version}];
 }
 
+/** Lists the figures that were sealed in an earlier era and that the store has lost. */
+function listForgottenFigures({knownSealed}: RequestUsage, stored: SealedUsage): SealedUsage {
+	const firstStored = Math.min(...Object.keys(stored).map(Number));
+	return Object.fromEntries([...knownSealed].filter(([windowId]) => stored[windowId] === undefined && (windowId > firstStored || firstStored === Number.POSITIVE_INFINITY)));
+}
+
+/**
+ * Lists the figures of windows that are due and were never sealed. A window that was due before the current era began may
+ * have been reported in an earlier era with figures that nobody knows, so it is left out.
+ */
+function listDueFigures(usage: RequestUsage, stored: SealedUsage, wallMs: number): SealedUsage {
+	const lastSealed = Math.max(0, ...Object.keys(stored).map(Number), ...usage.knownSealed.keys());
+	const dueWindowIds = usage.listWindows().filter(windowId => {
+		const dueAtMs = ((windowId + 1) * usage.windowMs) + SEAL_DELAY_MS;
+		return windowId > lastSealed && dueAtMs <= wallMs && dueAtMs > usage.eraSeenAtWallMs + CLOCK_MARGIN_MS;
+	});
+	return Object.fromEntries(dueWindowIds.map(windowId => [String(windowId), usage.sum(windowId)]));
+}
+
+function recordSealed(usage: RequestUsage, windows: SealedUsage, toldBy: string): readonly ServingEffect[] {
+	return usage.recordSealed(windows).map(windowId => ({
+		type: 'decision.record', name: 'usage.disputed', subject: String(windowId), detail: {toldBy},
+	}));
+}
+
 function planReports({usage}: ServingState, {epoch: fence, remainingMs: remainingTermMs}: HeldDuty): readonly ServingEffect[] {
 	if (usage.sealed === undefined || usage.isStoreCallInFlight) {
 		return [];
@@ -88,7 +131,7 @@
 	const effects: ServingEffect[] = [];
 	for (const [id, counts] of Object.entries(usage.sealed.windows)) {
 		const windowId = Number(id);
-		if (!usage.reportedWindows.has(windowId) && !usage.reportsInFlight.has(windowId)) {
+		if (!usage.reportedWindows.has(windowId) && !usage.disputedWindows.has(windowId) && !usage.reportsInFlight.has(windowId)) {
 			usage.reportsInFlight.add(windowId);
 			effects.push({
 				type: 'usage.report', windowId, counts, fence, remainingTermMs,
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -16,6 +16,7 @@
 import {createPeerReporting} from './createPeerReporting.js';
 import {startStoreWatches} from './startStoreWatches.js';
 import {createMonotonicWallClock} from './createMonotonicWallClock.js';
+import {createSuspensionDetector} from './createSuspensionDetector.js';
 import {createTargetPools} from './createTargetPools.js';
 import {type DirectSettings, directSettingsSchema} from './directSettings.js';
 
@@ -61,6 +62,7 @@
 	const {instanceId, availabilityZone, region} = settings;
 	const processId = randomUUID().slice(0, PROCESS_ID_LENGTH);
 	const readWallClock = createMonotonicWallClock();
+	const measureSuspension = createSuspensionDetector({readMonotonicClock: () => performance.now(), readWallClock: () => Date.now()});
 	const pools = createTargetPools();
 	let isStopped = false;
 	let addresses: ReadonlyMap<string, PeerAddress> = new Map();
@@ -106,7 +108,12 @@
 
 	const loop = createLoop<ServingState, ServingEvent, ServingEffect>({
 		state,
-		reduce: reduceServing,
+		reduce(servingState, event) {
+			const suspendedMs = measureSuspension();
+			return suspendedMs === 0
+				? reduceServing(servingState, event)
+				: [...reduceServing(servingState, {type: 'process.suspended', suspendedMs, nowMs: event.nowMs}), ...reduceServing(servingState, event)];
+		},
 		effectHandlers: {
 			...createDutyEffects({
 				ports, instanceId, dispatch(event) {
@@ -114,6 +121,9 @@
 				},
 			}),
 			...callEffects.handlers,
+			'store.recordEra'({era}) {
+				ports.store.recordEra(era);
+			},
 			'work.report'() {
 				peerLink.scheduleReport();
 			},
@@ -170,6 +180,9 @@
 	});
 
 	await Promise.all([listenAt(callerServer.server, settings.callerAddress), listenAt(readinessServer, settings.readinessAddress)]);
+	ports.store.listenForEras(era => {
+		loop.dispatch({type: 'store.eraChanged', era, wallMs: readWallClock()});
+	});
 	startStoreWatches({
 		ports,
 		logger,
--- a/packages/daemon/src/direct/createPeerDirectory.ts
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -28,19 +28,22 @@
 /** Registers the local entry in the store and lists its peers there until it is stopped. */
 export function createPeerDirectory(options: PeerDirectoryOptions): {readonly stop: () => void} {
 	const {store, kind, instanceId, processId, address, logger, onPeers} = options;
+	/** Whether the last list contained the local registration. Lists that may be stale are enough until it is missing. */
 	let isRegistered = false;
 	let isStopped = false;
 	let timer: NodeJS.Timeout | undefined;
 
 	const run = async () => {
-		const listed = await store.list(kind);
+		const mayBeStale = isRegistered;
+		const listed = await store.list(kind, {mayBeStale});
 		let hasSucceeded = listed.ok;
 		if (listed.ok) {
 			const localEntry = listed.val.objects.find(({name}) => name === instanceId);
+			isRegistered = entrySchema.safeParse(localEntry?.value).data?.processId === processId;
 			if (!isRegistered) {
-				const written = await store.write(kind, instanceId, {...address, processId}, localEntry?.version ?? 0);
-				isRegistered = written.ok;
-				hasSucceeded = written.ok;
+				// A stale list is no base for a write: it may be older than the registration that it lacks.
+				const written = mayBeStale ? undefined : await store.write(kind, instanceId, {...address, processId}, localEntry?.version ?? 0);
+				hasSucceeded = written?.ok ?? false;
 			}
 
 			const peers = new Map<string, PeerAddress>();
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -14,6 +14,8 @@
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.string()])),
+	z.number().int().nonnegative(),
+	z.array(z.tuple([z.number(), countsSchema])),
 	z.array(z.tuple([z.number(), countsSchema])),
 ]);
 
@@ -23,7 +25,7 @@
 /**
  * Formats a report as a tuple.
  *
- * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, usage
+ * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, era of the store, sealed usage, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportTuple {
 	return [
@@ -36,6 +38,8 @@
 		report.prefixUses.map(use => [...use]),
 		report.leaving.map(([targetId, startedAtMs]) => [targetId, startedAtMs]),
 		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
+		report.storeEra,
+		report.sealed.map(([windowId, counts]) => [windowId, {...counts}]),
 		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
 	];
 }
@@ -48,8 +52,8 @@
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
 	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
-		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, usage]) => ({
-			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, usage,
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, storeEra, sealed, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, storeEra, sealed, usage,
 		}))
 		: undefined;
 }
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -8,7 +8,7 @@
 /** Object of the metadata store, in its current state or as of a change. */
 export type MetadataObject = {
 	readonly name: string;
-	/** Version of the object's last change. Versions increase across all objects of the store. */
+	/** Version of the object's last change. Versions increase across all objects and eras of the store; see `toStoreVersion`. */
 	readonly version: number;
 	readonly value: unknown;
 	/** Whether the change removed the object. */
@@ -20,9 +20,9 @@
 
 /** Store for all data that must outlive a process. Errors are returned as values. */
 export type MetadataStore = {
-	/** Returns all objects of a kind. */
-	readonly list: (kind: string) => Promise<Result<MetadataPage, Failure>>;
-	/** Waits for changes after a version. Fails with `historyGone` if the store no longer has them. */
+	/** Returns all objects of a kind. With `mayBeStale`, the list may be seconds old, and costs the store less. */
+	readonly list: (kind: string, options?: {readonly mayBeStale?: boolean}) => Promise<Result<MetadataPage, Failure>>;
+	/** Waits for changes after a version. Fails with `historyGone` if the store no longer has them or is in a later era. */
 	readonly watch: (kind: string, afterVersion: number) => Promise<Result<MetadataPage, Failure>>;
 	/** Returns an object, or undefined if it does not exist. */
 	readonly read: (kind: string, name: string) => Promise<Result<MetadataObject | undefined, Failure>>;
@@ -31,6 +31,13 @@
 	 * Fails with `versionConflict` if the version differs, and with `storeUnavailable` if the store fails or does not reply. In the latter case the write may have taken effect.
 	 */
 	readonly write: (kind: string, name: string, value: unknown, expectedVersion: number) => Promise<Result<number, Failure>>;
+	/**
+	 * Calls a listener with the first era that a reply states, and with each later one, before any result of that era is
+	 * returned. Results of earlier eras are not returned after that.
+	 */
+	readonly listenForEras: (listener: (era: number) => void) => void;
+	/** Records an era that a peer has seen. */
+	readonly recordEra: (era: number) => void;
 	readonly close: () => Promise<void>;
 };
 
