Survive malformed messages and unexpected errors, and log them

Cause: a datagram with the JSON value null made the RPC server reject a promise that nobody awaited, which ends a Node process; an error in the handling of one event ended all calls of the process; malformed sealed usage was trusted.

--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -4,7 +4,7 @@
 	createServingState, reduceServing, type ServingEffect, type ServingEvent, type ServingState,
 } from '@damaskspool/core';
 import {
-	createLoop, type DeploymentPorts, type DirectEntrySettings, type Logger, type Metrics,
+	createLoop, type DeploymentPorts, type DirectEntrySettings, formatError, type Logger, type Metrics,
 } from '@damaskspool/runtime';
 import {createOperationsHandler} from '../createOperationsHandler.js';
 import {stopServer} from '../stopServer.js';
@@ -114,9 +114,14 @@
 				? reduceServing(servingState, event)
 				: [...reduceServing(servingState, {type: 'process.suspended', suspendedMs, nowMs: event.nowMs}), ...reduceServing(servingState, event)];
 		},
+		// An error in one event must not end the calls of all other callers. The call that it belongs to ends at its timeout.
+		onFailure(error, eventType) {
+			metrics.count('events_failed');
+			logger.error('event.failed', {eventType, detail: formatError(error)});
+		},
 		effectHandlers: {
 			...createDutyEffects({
-				ports, instanceId, dispatch(event) {
+				ports, instanceId, logger, dispatch(event) {
 					loop.dispatch(event);
 				},
 			}),
--- a/packages/daemon/src/direct/createDutyEffects.ts
+++ b/packages/daemon/src/direct/createDutyEffects.ts
@@ -1,21 +1,28 @@
-import {type SealedUsage, type ServingEffect, type ServingEvent} from '@damaskspool/core';
-import {type DeploymentPorts, type EffectHandlers, type UntimedEvent} from '@damaskspool/runtime';
+import {z} from 'zod';
+import {type ServingEffect, type ServingEvent} from '@damaskspool/core';
+import {
+	type DeploymentPorts, type EffectHandlers, type Logger, type UntimedEvent,
+} from '@damaskspool/runtime';
 import {ERROR_CODES, leaseRecordSchema} from '@damaskspool/shared';
 
 /** Options of {@link createDutyEffects}. */
 export type DutyEffectsOptions = {
 	readonly ports: DeploymentPorts;
 	readonly instanceId: string;
+	readonly logger: Logger;
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
 };
 
+/** Counts by window and customer. Without a valid object no window is reported, since its figures may have been reported. */
+const sealedUsageSchema = z.record(z.string().regex(/^\d+$/v), z.record(z.string(), z.number()));
+
 type EffectOf<Type extends ServingEffect['type']> = Extract<ServingEffect, {type: Type}>;
 
 /** Handlers of effects that concern leases, orders and usage reports. */
 export type DutyEffects = Pick<EffectHandlers<ServingEffect>, 'lease.read' | 'lease.write' | 'order.send' | 'usage.read' | 'usage.report' | 'usage.seal'>;
 
 /** Creates the handlers of lease, order and usage report effects. Each handler dispatches its result as an event. */
-export function createDutyEffects({ports, instanceId, dispatch}: DutyEffectsOptions): DutyEffects {
+export function createDutyEffects({ports, instanceId, logger, dispatch}: DutyEffectsOptions): DutyEffects {
 	const {store, objects} = ports;
 
 	const readLease = async ({dutyName, callId}: EffectOf<'lease.read'>) => {
@@ -52,10 +59,15 @@
 
 	const readSealedUsage = async () => {
 		const reply = await store.read(objects.usage.kind, objects.usage.name);
+		const sealed = reply.ok ? sealedUsageSchema.safeParse(reply.val?.value ?? {}) : undefined;
+		if (sealed?.success === false) {
+			logger.error('usage.malformed', {version: reply.ok ? reply.val?.version : undefined, detail: z.prettifyError(sealed.error)});
+		}
+
 		dispatch({
 			type: 'usage.sealEnded',
-			result: reply.ok
-				? {kind: 'read', version: reply.val?.version ?? 0, sealed: (reply.val?.value ?? {}) as SealedUsage}
+			result: reply.ok && sealed?.success === true
+				? {kind: 'read', version: reply.val?.version ?? 0, sealed: sealed.data}
 				: {kind: 'failed'},
 		});
 	};
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -104,12 +104,16 @@
 		}
 	}
 
-	socket.on('message', bytes => {
+	const receiveDatagram = async (bytes: Buffer) => {
 		try {
-			void receiver.receive(JSON.parse(bytes.toString('utf8')) as Parameters<typeof receiver.receive>[0]);
+			await receiver.receive(JSON.parse(bytes.toString('utf8')) as Parameters<typeof receiver.receive>[0]);
 		} catch (error) {
 			onFailure((error as Error).message);
 		}
+	};
+
+	socket.on('message', bytes => {
+		void receiveDatagram(bytes);
 	});
 	socket.on('error', error => {
 		onFailure(error.message);
--- a/packages/runtime/src/createLoop.ts
+++ b/packages/runtime/src/createLoop.ts
@@ -11,6 +11,11 @@
 	readonly state: State;
 	readonly reduce: Reducer<State, Event, Effect>;
 	readonly effectHandlers: EffectHandlers<Effect>;
+	/**
+	 * Called with an error that the reducer or an effect handler threw, and with the type of the event. The loop then goes on
+	 * with the next event. If omitted, the error leaves `dispatch`.
+	 */
+	readonly onFailure?: (error: unknown, eventType: string) => void;
 	/** Monotonic clock in milliseconds. */
 	readonly readClock?: () => number;
 };
@@ -36,7 +41,7 @@
  * event that is dispatched while another is handled is queued: reducer calls never nest.
  */
 export function createLoop<State, Event extends BaseEvent, Effect extends BaseEffect>(options: LoopOptions<State, Event, Effect>): Loop<State, Event> {
-	const {state, reduce, effectHandlers, readClock = () => performance.now()} = options;
+	const {state, reduce, effectHandlers, onFailure, readClock = () => performance.now()} = options;
 	const queue: Array<UntimedEvent<Event>> = [];
 	let isDraining = false;
 
@@ -48,6 +53,18 @@
 		}
 	};
 
+	const handleEventSafely = (event: UntimedEvent<Event>) => {
+		try {
+			handleEvent(event);
+		} catch (error) {
+			if (onFailure === undefined) {
+				throw error;
+			}
+
+			onFailure(error, (event as unknown as Event).type);
+		}
+	};
+
 	const dispatch = (event: UntimedEvent<Event>) => {
 		queue.push(event);
 		if (isDraining) {
@@ -57,7 +74,7 @@
 		isDraining = true;
 		try {
 			for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-				handleEvent(next);
+				handleEventSafely(next);
 			}
 		} finally {
 			isDraining = false;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export * from './createLineWriter.js';
 export * from './createLogger.js';
 export * from './createLoop.js';
+export * from './formatError.js';
 export * from './createMetrics.js';
 export * from './createObjectApiClient.js';
 export * from './rpc.js';
