Watch only connections that were established

Change: nothing is installed after a failed connect. A test with a target that refuses connections fails before and passes after.

--- a/packages/daemon/src/direct/createResetDetector.ts
+++ b/packages/daemon/src/direct/createResetDetector.ts
@@ -30,13 +30,15 @@
 	return {
 		connect(options, callback) {
 			connectSocket(options, (...connectResult) => {
-				const socket = connectResult[1];
-				if (socket !== null) {
-					onConnected?.(socket);
+				if (connectResult[0] !== null) {
+					callback(...connectResult);
+					return;
 				}
 
-				socket?.on('error', recordReset);
-				socket?.on('end', () => {
+				const [, socket] = connectResult;
+				onConnected?.(socket);
+				socket.on('error', recordReset);
+				socket.on('end', () => {
 					// A reset that arrives together with the last bytes is reported as `end`, but the socket has no remote address any more.
 					if (socket.remoteAddress === undefined) {
 						recordReset();
