--- a/packages/core/src/placement/placementSettings.ts
+++ b/packages/core/src/placement/placementSettings.ts
@@ -40,6 +40,8 @@
 	readonly slotLoss: number;
 	/** A request is refused if its expected time to the first event, without its own prefill, exceeds this multiple of its latency objective. */
 	readonly refuseAtGoals: number;
+	/** The same multiple for a request that comes again. It is late already, and its caller may not come a third time. */
+	readonly refuseReturnedAtGoals: number;
 	/** Minimum retry-after of a refused request, as a share of the time to its deadline. Short-term changes of the traffic mix have passed by then. */
 	readonly returnShare: number;
 	/** Maximum jitter added to the retry-after, as a share of the time to the deadline, so that refused callers do not all return at once. */
@@ -70,6 +72,7 @@
 	copyLossPerGb: 0.08,
 	slotLoss: 0.05,
 	refuseAtGoals: 1.3,
+	refuseReturnedAtGoals: 1.3,
 	returnShare: 0.22,
 	returnSpreadShare: 0.1,
 	longReadTokens: 1500,
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -187,7 +187,7 @@
 		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computePauseMs(placement, call.serviceId, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
 	}
 
-	const refuseAboveMs = call.route.goalMs * placementSettings.refuseAtGoals;
+	const refuseAboveMs = call.route.goalMs * (call.spentBeforeArrivalMs > 0 ? placementSettings.refuseReturnedAtGoals : placementSettings.refuseAtGoals);
 	if (plan.expectedFirstEventMs - plan.prefillMs > refuseAboveMs) {
 		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeRetryAfterMs(state, call, nowMs), detail: {...describePlan(plan), refuseAboveMs}};
 	}
