Order prefills at a target by the time that is left, late ones last

Change: a prefill carries a priority by the time left until its objective; one that misses it in any case goes last. Queues are counted in that order, so what goes last delays no estimate of what goes first. The simulations follow the same order.

--- a/packages/core/src/placement/__tests__/placementLoad.test.ts
+++ b/packages/core/src/placement/__tests__/placementLoad.test.ts
@@ -64,11 +64,13 @@
 	const prefillWork = (plan.prefillTarget ?? plan.decodeTarget).localWork;
 	const decodeWork = plan.decodeTarget.localWork;
 	prefillWork.prefillMs += plan.prefillMs;
+	prefillWork.urgentPrefillMs += plan.urgentPrefillMs;
 	decodeWork.running += 1;
 	scheduled.push({
 		atMs: nowMs + plan.expectedFirstEventMs,
 		run() {
 			prefillWork.prefillMs -= plan.prefillMs;
+			prefillWork.urgentPrefillMs -= plan.urgentPrefillMs;
 		},
 	}, {
 		atMs: nowMs + plan.expectedFirstEventMs + DECODE_MS,
--- a/packages/core/src/placement/__tests__/simulateEntries.ts
+++ b/packages/core/src/placement/__tests__/simulateEntries.ts
@@ -24,7 +24,7 @@
 /** Results for the long prompts that arrived after the warm-up. */
 export type SimulationResult = {readonly requested: number; readonly withinGoal: number; readonly meanFirstEventMs: number};
 
-type QueuedPrefill = {remainingMs: number; readonly isLong: boolean; readonly complete: () => void};
+type QueuedPrefill = {remainingMs: number; readonly isUrgent: boolean; readonly complete: () => void};
 
 const SIMULATED_MS = 6000;
 /** Time at the start, while queues form, whose requests are not counted. */
@@ -104,18 +104,17 @@
 		}
 	};
 
-	const addWork = ({decodeTarget, prefillTarget, prefillMs, copyMs, isLong}: GenerationPlan, sentAtMs: number, onFirstEvent: (firstEventMs: number) => void) => {
+	const addWork = ({decodeTarget, prefillTarget, prefillMs, urgentPrefillMs, copyMs}: GenerationPlan, sentAtMs: number, onFirstEvent: (firstEventMs: number) => void) => {
 		const {localWork} = prefillTarget ?? decodeTarget;
-		const shortPrefillMs = isLong ? 0 : prefillMs;
 		localWork.running += 1;
 		localWork.prefillMs += prefillMs;
-		localWork.shortPrefillMs += shortPrefillMs;
+		localWork.urgentPrefillMs += urgentPrefillMs;
 		queues.get((prefillTarget ?? decodeTarget).record.targetId)!.push({
 			remainingMs: prefillMs,
-			isLong,
+			isUrgent: urgentPrefillMs > 0,
 			complete() {
 				localWork.prefillMs -= prefillMs;
-				localWork.shortPrefillMs -= shortPrefillMs;
+				localWork.urgentPrefillMs -= urgentPrefillMs;
 				localWork.running -= 1;
 				decodeTarget.localWork.running += 1;
 				onFirstEvent(tickMs - sentAtMs + copyMs + FIRST_EVENT_MS + (prefillTarget === undefined ? 0 : settings.handoverMs));
@@ -154,8 +153,7 @@
 		}
 
 		for (const queue of queues.values()) {
-			// Short prompts are prefilled before long ones.
-			const prefill = queue.find(({isLong}) => !isLong) ?? queue[0];
+			const prefill = queue.find(({isUrgent}) => isUrgent) ?? queue[0];
 			if (prefill !== undefined) {
 				prefill.remainingMs -= 1;
 				if (prefill.remainingMs <= 0) {
--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -20,6 +20,8 @@
 	readonly cacheSource: PlacedTarget | undefined;
 	/** Duration of the prefill. */
 	readonly prefillMs: number;
+	/** Part of `prefillMs` that goes before other prefills; see `TargetWork.urgentPrefillMs`. */
+	readonly urgentPrefillMs: number;
 	/** Duration of all KV cache copies before the first event. */
 	readonly copyMs: number;
 	/** Wait before the prefill begins: for prompts ahead in the queue, or for a busy link. */
@@ -27,6 +29,8 @@
 	/** Prompt tokens that need no prefill because their KV cache is present or can be fetched. */
 	readonly cachedTokens: number;
 	readonly isLong: boolean;
+	/** Whether the first event is expected within the latency objective. */
+	readonly isTimely: boolean;
 	readonly expectedFirstEventMs: number;
 	/** Weighted sum of all costs. The plan with the lowest cost is chosen. */
 	readonly cost: number;
@@ -67,6 +71,8 @@
 	readonly running: number;
 	/** Wait before the target begins to prefill this prompt. */
 	readonly backlogMs: number;
+	/** Further wait at a target that only prefills, if the prompt misses its objective and goes last. */
+	readonly lateBacklogMs: number;
 	/** Wait before the link of the target is free. */
 	readonly linkBusyMs: number;
 };
@@ -118,12 +124,13 @@
 			continue;
 		}
 
-		const {running, prefillMs, shortPrefillMs, copyMs: linkBusyMs} = sumWork(state, target, nowMs);
+		const {running, prefillMs, urgentPrefillMs, copyMs: linkBusyMs} = sumWork(state, target, nowMs);
 		// Short prompts go before long ones and wait for at most one chunk of a long prompt.
 		const chunkMs = settings.decodePieceTokens / settings.readTokensPerMs / settings.decodeReadShare;
-		const backlogMs = isLong ? prefillMs : shortPrefillMs + Math.min(prefillMs - shortPrefillMs, chunkMs);
+		const isPrefillTarget = target.record.stage === STAGES.prefill;
+		const backlogMs = isLong && !isPrefillTarget ? prefillMs : urgentPrefillMs + Math.min(prefillMs - urgentPrefillMs, chunkMs);
 		(target.backoffUntilMs > nowMs ? backingOff : available).push({
-			target, running, backlogMs, linkBusyMs,
+			target, running, backlogMs, lateBacklogMs: isPrefillTarget ? prefillMs - backlogMs : 0, linkBusyMs,
 		});
 	}
 
@@ -172,7 +179,9 @@
 	const copyTokens = (cacheSource === undefined ? 0 : cacheSource.tokens - ownCachedTokens) + (decodeCandidate === undefined ? 0 : demand.prompt.tokens);
 	const slotWaitMs = computeSlotWaitMs(settings, prefillCandidate) + (decodeCandidate === undefined ? 0 : computeSlotWaitMs(settings, decodeCandidate));
 	const linkWaitMs = fetchMs + handoverCopyMs > 0 ? Math.max(prefillCandidate.linkBusyMs, decodeCandidate?.linkBusyMs ?? 0) : 0;
-	const expectedFirstEventMs = Math.max(prefillCandidate.backlogMs, linkWaitMs) + prefillMs + fetchMs + handoverCopyMs + slotWaitMs + handoverMs + settings.firstEventMs;
+	const timelyFirstEventMs = Math.max(prefillCandidate.backlogMs, linkWaitMs) + prefillMs + fetchMs + handoverCopyMs + slotWaitMs + handoverMs + settings.firstEventMs;
+	const isTimely = timelyFirstEventMs <= demand.goalRemainingMs;
+	const expectedFirstEventMs = timelyFirstEventMs + (isTimely ? 0 : prefillCandidate.lateBacklogMs);
 	const cost = computeLateCost(settings, expectedFirstEventMs, demand.goalRemainingMs)
 		+ (prefillMs * settings.readLossPerMs)
 		+ (isDisaggregated ? 0 : prefillMs * computeDelayCostPerMs(settings, prefillCandidate))
@@ -186,10 +195,12 @@
 		prefillTarget: isDisaggregated ? prefillCandidate.target : undefined,
 		cacheSource: cacheSource?.target,
 		prefillMs,
+		urgentPrefillMs: (isDisaggregated ? isTimely : !isLongPrompt(demand, settings)) ? prefillMs : 0,
 		copyMs: fetchMs + handoverCopyMs,
-		backlogMs: Math.max(prefillCandidate.backlogMs, linkWaitMs),
+		backlogMs: Math.max(prefillCandidate.backlogMs, linkWaitMs) + (isTimely ? 0 : prefillCandidate.lateBacklogMs),
 		cachedTokens,
 		isLong: isLongPrompt(demand, settings),
+		isTimely,
 		expectedFirstEventMs,
 		cost,
 	};
--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -7,8 +7,8 @@
 	running: number;
 	/** Prefill time of the prompts whose prefill is not complete. */
 	prefillMs: number;
-	/** Part of `prefillMs` that belongs to short prompts, which go before long ones. */
-	shortPrefillMs: number;
+	/** Part of `prefillMs` that goes before the rest: short prompts at a target that decodes, and prompts that can meet their objective at one that only prefills. */
+	urgentPrefillMs: number;
 	/** Time for which the link of the target copies KV cache for these prompts. */
 	copyMs: number;
 };
@@ -104,7 +104,7 @@
 }
 
 /** Fields of {@link TargetWork} that are queues. Each shrinks by one millisecond per millisecond. */
-const QUEUE_FIELDS = ['prefillMs', 'shortPrefillMs', 'copyMs'] as const;
+const QUEUE_FIELDS = ['prefillMs', 'urgentPrefillMs', 'copyMs'] as const;
 
 /**
  * Adds up the work of this entry and its live peers on a target.
@@ -142,7 +142,7 @@
 /** Creates the record of an entry without work on a target. */
 export function createTargetWork(): TargetWork {
 	return {
-		running: 0, prefillMs: 0, shortPrefillMs: 0, copyMs: 0,
+		running: 0, prefillMs: 0, urgentPrefillMs: 0, copyMs: 0,
 	};
 }
 
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -1,6 +1,7 @@
 import {
 	ERROR_CODES, type ErrorCode, type Outcome, OUTCOMES,
 } from '@damaskspool/shared';
+import {computePrefillPriority} from '../placement/computePrefillPriority.js';
 import {placeCall} from '../placement/placeCall.js';
 import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
 import {
@@ -22,6 +23,8 @@
 	readonly handle: KvCacheHandle | undefined;
 	readonly cacheSource: PlacedTarget | undefined;
 	readonly expectedFirstByteMs: number;
+	/** Priority on the target's scale; if omitted, the priority of the route applies. */
+	readonly priority?: number;
 	readonly detail: Readonly<Record<string, unknown>>;
 };
 
@@ -34,7 +37,7 @@
 /** Retry-after of a refusal for which no estimate is available. */
 const DEFAULT_RETRY_AFTER_MS = 500;
 /** Queued work of an attempt without prefill. */
-const NO_QUEUED_WORK = {prefillMs: 0, shortPrefillMs: 0, copyMs: 0} as const;
+const NO_QUEUED_WORK = {prefillMs: 0, urgentPrefillMs: 0, copyMs: 0} as const;
 /** Last value on a target's priority scale, which begins at zero. */
 const MAX_PRIORITY = 9;
 
@@ -91,7 +94,7 @@
 			target: plan.target.record,
 			customerId: call.customerId,
 			remainingMs: Math.floor(remainingMs),
-			priority: toTargetPriority(state, call),
+			priority: plan.priority ?? toTargetPriority(state, call),
 			isPrefillOnly: plan.isPrefillOnly,
 			handle: plan.handle,
 			fetchAddress: plan.cacheSource?.record.address,
@@ -201,10 +204,11 @@
 	return {
 		target: plan.prefillTarget ?? plan.decodeTarget,
 		isPrefillOnly: plan.prefillTarget !== undefined,
-		queuedWork: {prefillMs: plan.prefillMs, shortPrefillMs: plan.isLong ? 0 : plan.prefillMs, copyMs: plan.copyMs},
+		queuedWork: {prefillMs: plan.prefillMs, urgentPrefillMs: plan.urgentPrefillMs, copyMs: plan.copyMs},
 		handle: undefined,
 		cacheSource: plan.cacheSource,
 		expectedFirstByteMs: plan.expectedFirstEventMs,
+		...(plan.prefillTarget !== undefined && {priority: computePrefillPriority({goalRemainingMs, isTimely: plan.isTimely})}),
 		detail: describePlan(plan),
 	};
 }
@@ -302,9 +306,9 @@
 	call.isUsageCounted = true;
 }
 
-function addQueuedWork({localWork}: PlacedTarget, {prefillMs, shortPrefillMs, copyMs}: CallAttempt['queuedWork'], sign: 1 | -1): void {
+function addQueuedWork({localWork}: PlacedTarget, {prefillMs, urgentPrefillMs, copyMs}: CallAttempt['queuedWork'], sign: 1 | -1): void {
 	localWork.prefillMs = Math.max(0, localWork.prefillMs + (sign * prefillMs));
-	localWork.shortPrefillMs = Math.max(0, localWork.shortPrefillMs + (sign * shortPrefillMs));
+	localWork.urgentPrefillMs = Math.max(0, localWork.urgentPrefillMs + (sign * urgentPrefillMs));
 	localWork.copyMs = Math.max(0, localWork.copyMs + (sign * copyMs));
 }
 
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -100,8 +100,8 @@
 			sequence: report.sequence,
 			processId: report.processId,
 			receivedAtMs: nowMs,
-			workByTarget: new Map(report.work.map(([targetId, running, prefillMs, shortPrefillMs, copyMs]) => [targetId, {
-				running, prefillMs, shortPrefillMs, copyMs,
+			workByTarget: new Map(report.work.map(([targetId, running, prefillMs, urgentPrefillMs, copyMs]) => [targetId, {
+				running, prefillMs, urgentPrefillMs, copyMs,
 			}])),
 		});
 		state.clock.recordOffset(report.entryId, report.wallMs - wallMs);
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -106,7 +106,7 @@
 	readonly sequence: number;
 	/** Wall-clock time of the sender. */
 	readonly wallMs: number;
-	readonly work: ReadonlyArray<readonly [targetId: string, running: number, prefillMs: number, shortPrefillMs: number, copyMs: number]>;
+	readonly work: ReadonlyArray<readonly [targetId: string, running: number, prefillMs: number, urgentPrefillMs: number, copyMs: number]>;
 	/** Shared prompt parts sent to targets since the previous report. */
 	readonly prefixUses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
 	/** Targets that told this entry in an answer that they are about to stop. */
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -16,7 +16,7 @@
 	readonly target: PlacedTarget;
 	readonly isPrefillOnly: boolean;
 	/** Prefill and copy time that counts as work of the target until the first bytes of its response. */
-	queuedWork: {prefillMs: number; shortPrefillMs: number; copyMs: number};
+	queuedWork: {prefillMs: number; urgentPrefillMs: number; copyMs: number};
 	readonly sentAtMs: number;
 	/** Time from which the target counts as unresponsive. */
 	responseDueAtMs: number;
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -81,7 +81,7 @@
 	const work: Array<PeerReport['work'][number]> = [];
 	for (const [targetId, {localWork}] of placement.targets) {
 		if (localWork.running > 0 || localWork.prefillMs > 0) {
-			work.push([targetId, localWork.running, Math.round(localWork.prefillMs), Math.round(localWork.shortPrefillMs), Math.round(localWork.copyMs)]);
+			work.push([targetId, localWork.running, Math.round(localWork.prefillMs), Math.round(localWork.urgentPrefillMs), Math.round(localWork.copyMs)]);
 		}
 	}
 
