--- a/packages/daemon/src/direct/watchObjects.ts
+++ b/packages/daemon/src/direct/watchObjects.ts
@@ -1,3 +1,4 @@
+import {setTimeout as wait} from 'node:timers/promises';
 import {type MetadataPage, type MetadataStore} from '@damaskspool/runtime';
 import {ERROR_CODES, type Failure} from '@damaskspool/shared';
 
@@ -11,6 +12,11 @@
 	readonly isStopped: () => boolean;
 };
 
+/**
+ * Pause after changes, so that changes in quick succession cost one call: a small part of the time within which a
+ * change must take effect.
+ */
+const CHANGE_PAUSE_MS = 400;
 /** Delay after the first failed call; each further failure doubles it. */
 const MIN_RETRY_DELAY_MS = 60;
 /** Maximum delay after failed calls: well under the time within which a change must take effect. */
@@ -34,6 +40,10 @@
 				onPage(result.val, isFullList);
 			}
 
+			if (!isFullList && result.val.objects.length > 0) {
+				await wait(CHANGE_PAUSE_MS);
+			}
+
 			continue;
 		}
 
@@ -44,12 +54,6 @@
 
 		failureCount += 1;
 		onFailure(result.val);
-		await waitBeforeRetry(failureCount);
+		await wait(Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * (2 ** (failureCount - 1))));
 	}
 }
-
-async function waitBeforeRetry(failureCount: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * (2 ** (failureCount - 1))));
-	});
-}
