Judge a prefill late by its wait alone, and take failed prefills from the retry budget

A prefill that a target did not accept was sent elsewhere without a retry of the budget. Change: a prompt is timely while its wait leaves half of the remaining time. Each prefill after one that was not accepted takes a retry, one after an attempt to decode takes two. Tests in placeGeneration and servingReducer fail before.

--- a/packages/core/src/lease/leaseHandlers.ts
+++ b/packages/core/src/lease/leaseHandlers.ts
@@ -84,7 +84,7 @@
 
 	'store.eraChanged'({lease}, {era, nowMs}) {
 		lease.storeEra = era;
-		return [...lease.duties.values()].flatMap(duty => forgetDuty(duty, {era, nowMs}));
+		return [...lease.duties.values()].flatMap(duty => resetDuty(duty, {era, nowMs}));
 	},
 
 	// The monotonic clock does not count the suspended time, but other entries do. Writes without a reply were sent before it.
@@ -155,7 +155,7 @@
  * Forgets what an earlier era of the store said about a duty, and changes it in place. The store may have lost a lease
  * that it acknowledged, so a full term passes before this entry bids again. Replies to calls in progress are ignored.
  */
-function forgetDuty(duty: DutyState, {era, nowMs}: {era: number; nowMs: number}): readonly LeaseHandlerEffect[] {
+function resetDuty(duty: DutyState, {era, nowMs}: {era: number; nowMs: number}): readonly LeaseHandlerEffect[] {
 	const {held} = duty;
 	duty.lastEpoch = Math.max(duty.lastEpoch, duty.record?.epoch ?? 0, ...duty.unconfirmedWrites.map(({record}) => record.epoch));
 	duty.held = undefined;
--- a/packages/core/src/membership/targetCatalog.ts
+++ b/packages/core/src/membership/targetCatalog.ts
@@ -85,7 +85,7 @@
 		return false;
 	}
 
-	rememberTarget(catalog.noticedLeaving, {targetId, startedAtMs});
+	recordIncarnation(catalog.noticedLeaving, {targetId, startedAtMs});
 
 	const registration = catalog.registrations.get(targetId);
 	if (registration?.record.startedAtMs === startedAtMs) {
@@ -105,8 +105,8 @@
 	catalog.storeFailedAtMs = nowMs;
 }
 
-/** Remembers one incarnation of a target in a bounded map, which changes in place. */
-function rememberTarget(targets: Map<string, number>, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): void {
+/** Records one incarnation of a target in a bounded map, which changes in place. */
+function recordIncarnation(targets: Map<string, number>, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): void {
 	targets.delete(targetId);
 	targets.set(targetId, startedAtMs);
 	const [oldest] = targets.keys();
@@ -126,7 +126,7 @@
 	for (const [targetId, {record, missingSinceMs}] of catalog.registrations) {
 		if (missingSinceMs !== undefined && nowMs >= catalog.storeFailedAtMs + REREGISTRATION_GRACE_MS) {
 			catalog.registrations.delete(targetId);
-			rememberTarget(catalog.removedTargets, record);
+			recordIncarnation(catalog.removedTargets, record);
 			isChanged = true;
 		}
 	}
--- a/packages/core/src/placement/__tests__/placeGeneration.test.ts
+++ b/packages/core/src/placement/__tests__/placeGeneration.test.ts
@@ -33,6 +33,21 @@
 		assert.equal(plan.cachedTokens, 13_300);
 	});
 
+	// Guards against large prompts that are refused or served last in every swing, because their own prefill takes up the objective.
+	it('puts a prompt behind others by its wait alone, not by its size', () => {
+		const state = createTestPlacement([STAGES.prefill, STAGES.decode]);
+		state.targets.get('target1')!.localWork.prefillMs = 10_000;
+		const large = {tokens: 80_000, maxOutputTokens: 120, parts: [{partId: 'own', tokens: 80_000}]};
+		const plan = place(state, {prompt: large});
+		assert.equal(plan?.prefillTarget?.record.targetId, 'target0');
+		assert.deepEqual([plan.isTimely, plan.urgentPrefillMs === plan.prefillMs, plan.expectedFirstEventMs > 300], [true, true, true]);
+		Object.assign(state.targets.get('target0')!.localWork, {prefillMs: 400, urgentPrefillMs: 400});
+		assert.deepEqual([place(state, {prompt: large})?.isTimely, place(state)?.isTimely], [false, false]);
+		// What goes last does not delay what goes first.
+		Object.assign(state.targets.get('target0')!.localWork, {prefillMs: 400, urgentPrefillMs: 0});
+		assert.deepEqual([place(state, {prompt: large})?.isTimely, place(state)?.isTimely], [true, true]);
+	});
+
 	it('fetches the KV cache of a shared part if the target that has it is busy', () => {
 		const state = createTestPlacement([STAGES.decode, STAGES.decode]);
 		state.prefixLocations.recordUse('shared', 'target0', 13_300);
--- a/packages/core/src/placement/computePrefillPriority.ts
+++ b/packages/core/src/placement/computePrefillPriority.ts
@@ -7,11 +7,11 @@
 export type PrefillPriorityOptions = {
 	/** Time until the latency objective; negative if it has passed. */
 	readonly goalRemainingMs: number;
-	/** Whether the first event is expected within that time. */
+	/** Whether the wait before the prefill leaves time to meet the objective. */
 	readonly isTimely: boolean;
 };
 
-/** Priority of a prefill whose prompt misses its objective in any case. */
+/** Priority of a prefill that has waited, or will wait, for too long to meet its objective. */
 export const LATE_PREFILL_PRIORITY = 9;
 /** Last priority of a prefill that can meet its objective. */
 const MAX_TIMELY_PRIORITY = 8;
@@ -21,8 +21,8 @@
 const PRIORITIES_PER_DOUBLING = 2;
 
 /**
- * Computes the priority of a prefill on the target's scale, where 0 goes first. What is late anyway goes last, since it
- * would make others late; the rest goes by the time that is left.
+ * Computes the priority of a prefill on the target's scale, where 0 goes first. What is late by its wait goes last, since
+ * it would make others late; the rest goes by the time that is left.
  */
 export function computePrefillPriority({goalRemainingMs, isTimely}: PrefillPriorityOptions): number {
 	if (!isTimely) {
--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -29,7 +29,7 @@
 	/** Prompt tokens that need no prefill because their KV cache is present or can be fetched. */
 	readonly cachedTokens: number;
 	readonly isLong: boolean;
-	/** Whether the first event is expected within the latency objective. */
+	/** Whether the wait before the prefill leaves time to meet the latency objective. */
 	readonly isTimely: boolean;
 	readonly expectedFirstEventMs: number;
 	/** Weighted sum of all costs. The plan with the lowest cost is chosen. */
@@ -65,6 +65,12 @@
 /** Share of the remaining time to the objective up to which an expected first event adds no cost for lateness. */
 const SAFE_SHARE_OF_GOAL = 0.5;
 
+/**
+ * Share of the remaining time to the objective that a prompt may wait for its prefill and still counts as timely. The
+ * prompt's own size does not matter, so large prompts are not put behind all others.
+ */
+const TIMELY_WAIT_SHARE = 0.5;
+
 /** A target that may be chosen, with its current load. */
 type Candidate = {
 	readonly target: PlacedTarget;
@@ -179,9 +185,10 @@
 	const copyTokens = (cacheSource === undefined ? 0 : cacheSource.tokens - ownCachedTokens) + (decodeCandidate === undefined ? 0 : demand.prompt.tokens);
 	const slotWaitMs = computeSlotWaitMs(settings, prefillCandidate) + (decodeCandidate === undefined ? 0 : computeSlotWaitMs(settings, decodeCandidate));
 	const linkWaitMs = fetchMs + handoverCopyMs > 0 ? Math.max(prefillCandidate.linkBusyMs, decodeCandidate?.linkBusyMs ?? 0) : 0;
-	const timelyFirstEventMs = Math.max(prefillCandidate.backlogMs, linkWaitMs) + prefillMs + fetchMs + handoverCopyMs + slotWaitMs + handoverMs + settings.firstEventMs;
-	const isTimely = timelyFirstEventMs <= demand.goalRemainingMs;
-	const expectedFirstEventMs = timelyFirstEventMs + (isTimely ? 0 : prefillCandidate.lateBacklogMs);
+	const timelyWaitMs = Math.max(prefillCandidate.backlogMs, linkWaitMs) + slotWaitMs;
+	const isTimely = timelyWaitMs <= demand.goalRemainingMs * TIMELY_WAIT_SHARE;
+	const waitMs = timelyWaitMs + (isTimely ? 0 : prefillCandidate.lateBacklogMs);
+	const expectedFirstEventMs = waitMs + prefillMs + fetchMs + handoverCopyMs + handoverMs + settings.firstEventMs;
 	const cost = computeLateCost(settings, expectedFirstEventMs, demand.goalRemainingMs)
 		+ (prefillMs * settings.readLossPerMs)
 		+ (isDisaggregated ? 0 : prefillMs * computeDelayCostPerMs(settings, prefillCandidate))
--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -139,6 +139,37 @@
 		assert.equal(state.placement.targets.get('a')?.record.isLeaving, true);
 	});
 
+	// Guards against more arrivals at targets than the retry budget allows: a prefill that a target does not accept is one.
+	it('takes each prefill after one that was not accepted from the retry budget', () => {
+		const state = createServingState({
+			instanceId: 'entry', processId: 'p', availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, retryRatio: 0, retryAllowance: 4, budgetWindowMs: 10_000,
+		});
+		const engine = {kvCapacityTokens: 600_000, kvBytesPerToken: 18_432, linkMbps: 180_000};
+		reduceServing(state, {
+			type: 'configuration.changed', configuration: {
+				...createTestConfiguration(), routes: [createTestRoute('stream', {shares: [{serviceId: 'engines', weight: 1}]})], services: new Map([['engines', {serviceId: 'engines', connectionLimit: 100, engine}]]),
+			}, nowMs: 0,
+		});
+		reduceServing(state, {
+			type: 'targets.changed', targets: [1, 2, 3, 4, 5, 6].map(index => createTestTarget(`t${index}`, {stage: index < 6 ? 'prefill' : 'decode'})), removed: [], isComplete: true, nowMs: 0,
+		});
+		const prompt = {tokens: 20_000, maxOutputTokens: 10, parts: [{partId: 'own', tokens: 20_000}]};
+		const arrival = createArrival(1, 'stream', 0);
+		state.placement.targets.get('t6')!.localWork.prefillMs = 5000;
+		let effects = reduceServing(state, arrival.type === 'call.arrived' ? {...arrival, request: {...arrival.request, prompt}} : arrival);
+		let sent = 0;
+		for (let send = findSend(effects); send?.isPrefillOnly === true; send = findSend(effects)) {
+			sent += 1;
+			effects = reduceServing(state, {
+				type: 'attempt.prefillEnded', callId: 1, attemptId: send.attemptId, handleId: undefined, result: 'notRun', nowMs: sent,
+			});
+		}
+
+		// The first one is free, and an entry uses half of the allowance.
+		assert.equal(sent, 3);
+		assert.equal(findRefusal(effects)?.outcome, OUTCOMES.refusedNotRun);
+	});
+
 	// Guards against requests, retries included, to a target that has turned one away with a retry-after header.
 	it('sends nothing to a target during the pause that it asked for, and tells callers the true pause when all targets pause', () => {
 		const state = createTestState();
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -54,12 +54,18 @@
 export function planNextAttempt(state: ServingState, call: ServingCall, nowMs: number, handle?: KvCacheHandle, hasRun = false): readonly ServingEffect[] {
 	releaseReservation(state, call);
 	const remainingMs = call.timeoutAtMs - nowMs;
-	const isRetry = call.attemptCount > 0 && handle === undefined;
+	const isRetry = handle === undefined && (call.attemptCount > 0 || call.failedPrefillCount > 0);
 	if (remainingMs < MIN_REMAINING_MS || (isRetry && !mayRetry(state, call, nowMs))) {
 		return refuseExhaustedCall(state, call, ERROR_CODES.noTarget, hasRun);
 	}
 
 	const plan = handle === undefined ? planAttempt(state, call, nowMs) : planHandover(state, call, handle, nowMs);
+	// After an attempt to decode, another prefill and the decode that follows it are two retries.
+	const isSecondRetryNeeded = call.attemptCount > 0 && plan !== undefined && 'isPrefillOnly' in plan && plan.isPrefillOnly;
+	if (isSecondRetryNeeded && !mayRetry(state, call, nowMs)) {
+		return refuseExhaustedCall(state, call, ERROR_CODES.noTarget, hasRun);
+	}
+
 	if (plan === undefined || 'refusal' in plan) {
 		return [
 			...refuseExhaustedCall(state, call, plan?.refusal ?? ERROR_CODES.noTarget, hasRun, plan),
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -39,6 +39,7 @@
 			snapshot: createRequestSnapshot(isRetryable),
 			attempt: undefined,
 			attemptCount: 0,
+			failedPrefillCount: 0,
 			excludedTargetIds: listCrashedTargets(state, request.fingerprint, {serviceId, nowMs}),
 			decodeTarget: undefined,
 			hasReservedSlot: false,
@@ -99,6 +100,7 @@
 				recordCrash(state, call, nowMs);
 			}
 
+			call.failedPrefillCount += 1;
 			call.excludedTargetIds.add(attempt.target.record.targetId);
 			advanceRequest(call, {type: 'failNotRun'});
 			return planNextAttempt(state, call, nowMs);
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -41,6 +41,8 @@
 	attempt: CallAttempt | undefined;
 	/** Attempts that count towards the limit of the route. A disaggregated prefill does not count. */
 	attemptCount: number;
+	/** Disaggregated prefills that ended without a handle. Unlike the first one that is accepted, they count as retries. */
+	failedPrefillCount: number;
 	readonly excludedTargetIds: Set<string>;
 	/** Target that decodes after a disaggregated prefill. */
 	decodeTarget: PlacedTarget | undefined;
--- a/packages/core/src/serving/unresponsiveTargetHandlers.ts
+++ b/packages/core/src/serving/unresponsiveTargetHandlers.ts
@@ -53,6 +53,7 @@
 	}
 
 	endAttempt(state, call, {result: ATTEMPT_RESULTS.cancelled, nowMs});
+	call.failedPrefillCount += attempt.isPrefillOnly ? 1 : 0;
 	call.excludedTargetIds.add(attempt.target.record.targetId);
 	advanceRequest(call, {type: attempt.isPrefillOnly ? 'failNotRun' : 'failUnknown'});
 	return [{type: 'attempt.cancel', callId, attemptId: attempt.attemptId}, ...planNextAttempt(state, call, nowMs)];
--- a/packages/core/src/usage/requestUsage.ts
+++ b/packages/core/src/usage/requestUsage.ts
@@ -29,7 +29,7 @@
 	/** Returns figures that this entry has sealed and not reported to its peers often enough. */
 	readonly takeSealedForPeers: () => PeerReport['sealed'];
 	/** Records that this entry has sealed windows, so that peers are told. */
-	readonly announceSealed: (windowIds: readonly number[]) => void;
+	readonly enqueueSealed: (windowIds: readonly number[]) => void;
 	/**
 	 * Wall-clock time at which this entry first saw the current era of the store. Windows that were due before may have
 	 * been sealed and reported in an earlier era.
@@ -98,7 +98,7 @@
 
 			return newlyDisputed;
 		},
-		announceSealed(windowIds) {
+		enqueueSealed(windowIds) {
 			for (const windowId of windowIds) {
 				announcements.set(windowId, SEALED_ANNOUNCEMENTS);
 			}
--- a/packages/core/src/usage/requestUsageHandlers.ts
+++ b/packages/core/src/usage/requestUsageHandlers.ts
@@ -47,7 +47,7 @@
 		}
 
 		if (result.kind === 'written') {
-			usage.announceSealed(Object.keys(result.sealed).map(Number).filter(windowId => !usage.knownSealed.has(windowId)));
+			usage.enqueueSealed(Object.keys(result.sealed).map(Number).filter(windowId => !usage.knownSealed.has(windowId)));
 		}
 
 		return recordSealed(usage, result.sealed, 'store');
