Release the reserved slot of a call whose second retry the budget refuses

Cause (found by reading the change again): the plan of a retry reserves a share of a slot on its decode target; when the budget then refused the second retry, the call ended and the share stayed counted as taken for the life of the process. Change: the reservation is released before the refusal.

--- a/packages/core/src/serving/__tests__/servingReducer.test.ts
+++ b/packages/core/src/serving/__tests__/servingReducer.test.ts
@@ -170,6 +170,37 @@
 		assert.equal(findRefusal(effects)?.outcome, OUTCOMES.refusedNotRun);
 	});
 
+	// Guards against a slot that stays reserved for a call that is refused after its next attempt was planned.
+	it('reserves no slot for a call whose second retry the budget refuses', () => {
+		const state = createServingState({
+			instanceId: 'entry', processId: 'p', availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, retryRatio: 0, retryAllowance: 2, budgetWindowMs: 10_000,
+		});
+		const engine = {kvCapacityTokens: 600_000, kvBytesPerToken: 18_432, linkMbps: 180_000};
+		const routes = [createTestRoute('stream', {shares: [{serviceId: 'engines', weight: 1}]})];
+		reduceServing(state, {
+			type: 'configuration.changed', configuration: {...createTestConfiguration(), routes, services: new Map([['engines', {serviceId: 'engines', connectionLimit: 100, engine}]])}, nowMs: 0,
+		});
+		reduceServing(state, {
+			type: 'targets.changed', targets: [1, 2, 3, 4].map(index => createTestTarget(`t${index}`, {stage: index < 3 ? 'prefill' : 'decode'})), removed: [], isComplete: true, nowMs: 0,
+		});
+		for (const targetId of ['t3', 't4']) {
+			state.placement.targets.get(targetId)!.localWork.prefillMs = 5000;
+		}
+
+		const arrival = createArrival(1, 'stream', 0);
+		const prompt = {tokens: 20_000, maxOutputTokens: 10, parts: [{partId: 'own', tokens: 20_000}]};
+		const prefill = findSend(reduceServing(state, arrival.type === 'call.arrived' ? {...arrival, request: {...arrival.request, prompt}} : arrival))!;
+		const decode = findSend(reduceServing(state, {
+			type: 'attempt.prefillEnded', callId: 1, attemptId: prefill.attemptId, handleId: 'h', result: 'answered', nowMs: 1,
+		}))!;
+		assert.deepEqual([prefill.isPrefillOnly, decode.isPrefillOnly], [true, false]);
+		const effects = reduceServing(state, {
+			type: 'attempt.ended', callId: 1, attemptId: decode.attemptId, result: 'notRun', isResponseStarted: false, hasRun: false, wallMs: 0, detail: '', nowMs: 2,
+		});
+		assert.equal(findRefusal(effects)?.outcome, OUTCOMES.refusedNotRun);
+		assert.deepEqual([...state.placement.targets.values()].map(({localWork}) => localWork.running), [0, 0, 0, 0]);
+	});
+
 	// Guards against requests, retries included, to a target that has turned one away with a retry-after header.
 	it('sends nothing to a target during the pause that it asked for, and tells callers the true pause when all targets pause', () => {
 		const state = createTestState();
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -63,6 +63,7 @@
 	// After an attempt to decode, another prefill and the decode that follows it are two retries.
 	const isSecondRetryNeeded = call.attemptCount > 0 && plan !== undefined && 'isPrefillOnly' in plan && plan.isPrefillOnly;
 	if (isSecondRetryNeeded && !mayRetry(state, call, nowMs)) {
+		releaseReservation(state, call);
 		return refuseExhaustedCall(state, call, ERROR_CODES.noTarget, hasRun);
 	}
 
