--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -23,7 +23,11 @@
 		| {readonly kind: 'breakOnReply'};
 
 /** A running fault-injecting proxy. */
-export type FaultProxy = StandIn & {readonly setFault: (fault: ProxyFault) => void};
+export type FaultProxy = StandIn & {
+	readonly setFault: (fault: ProxyFault) => void;
+	/** Makes the open connections deliver nothing more, without closing them. New connections work. */
+	readonly silenceOpenConnections: () => void;
+};
 
 type Direction = 'request' | 'reply';
 
@@ -47,13 +51,15 @@
  */
 export async function createFaultProxy(destinationAddress: string): Promise<FaultProxy> {
 	const sockets = new Set<Socket>();
+	const silentSockets = new WeakSet<Socket>();
 	const [host, port] = destinationAddress.split(':');
 	let fault: ProxyFault = {kind: 'none'};
 
 	const forward = (from: Socket, to: Socket, direction: Direction) => {
 		sockets.add(from);
+		const resolveAction = () => silentSockets.has(from) ? 'silence' : CHUNK_ACTIONS[fault.kind][direction];
 		from.on('data', chunk => {
-			const action = CHUNK_ACTIONS[fault.kind][direction];
+			const action = resolveAction();
 			if (action === 'break') {
 				from.destroy();
 				to.destroy();
@@ -69,7 +75,7 @@
 			}
 		});
 		from.on('end', () => {
-			if (CHUNK_ACTIONS[fault.kind][direction] === 'silence') {
+			if (resolveAction() === 'silence') {
 				return;
 			}
 
@@ -124,6 +130,11 @@
 				}
 			}
 		},
+		silenceOpenConnections() {
+			for (const socket of sockets) {
+				silentSockets.add(socket);
+			}
+		},
 		async close() {
 			const closed = once(server, 'close');
 			server.close();
