Quarantine parts of prompts that crash targets

Cause: crashes were counted by fingerprint of the whole request. These requests are all different and share one part of their prompts. Class of fault: a cause is counted under a key that is narrower than what callers repeat.

Change: an attempt that ends without a result has its target probed; if nothing listens, or its registration goes, the target has crashed, and the parts of the requests that waited for their first bytes there are recorded and told to peers. A part that stands in three crashes (five, if it was answered before) and in no answer since is quarantined at all entries; if several parts stand in the same crashes, only requests with all of them are refused. An answer releases a part. attempt.ended names the parts; new lines target.crashed, part.quarantined, part.released.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -101,5 +101,6 @@
 export * from './usage/requestUsage.js';
 export * from './membership/reportRoutes.js';
 export * from './membership/targetCatalog.js';
+export * from './retries/poisonPartTracker.js';
 export * from './retries/poisonRequestTracker.js';
 export * from './usage/medianClock.js';
--- /dev/null
+++ b/packages/core/src/retries/poisonPartTracker.ts
@@ -0,0 +1,259 @@
+/**
+ * Finds poison parts: parts of prompts that crash each target that begins to answer a request with them. Such requests
+ * have nothing else in common, and share their other parts with sound requests.
+ *
+ * A crash names the requests that were waiting for their first bytes on the target. One of their parts caused it. A part
+ * is cleared of all crashes before an answer to a request with it was completed. A part that stands in enough crashes is
+ * quarantined, and these crashes count against no other part. If several parts stand in the same crashes, only requests
+ * with all of them are refused, until a further crash or an answer shows which of them it is: sound requests that have
+ * some of them are still served. Entries exchange crashes and cleared parts.
+ */
+
+/** Request that was running on a target when the target crashed: the incarnation of the target, and the parts that other requests may share, in order. */
+export type PartCrash = readonly [incarnation: string, partIds: readonly string[]];
+
+/** Quarantine of requests that have all of these parts, as told to peers: how long ago it began, and how long it lasts from then on. */
+export type PartQuarantine = readonly [partIds: readonly string[], ageMs: number, durationMs: number];
+
+/** What an entry tells its peers about poison parts. */
+export type PoisonPartUpdates = {
+	readonly crashes: readonly PartCrash[];
+	/** Parts of crashed requests that stand in a completed answer. */
+	readonly cleared: readonly string[];
+	/** All quarantines. Only complete updates have them: they make up for lost ones, and tell entries that started later. */
+	readonly quarantines: readonly PartQuarantine[];
+};
+
+/** A quarantine that began, or that ended because answers cleared its parts. */
+export type PartDecision = {readonly partIds: readonly string[]; readonly isQuarantined: boolean};
+
+/** Crashes, cleared parts and quarantines as known to one entry. */
+export type PoisonPartTracker = {
+	/** Records a crash of this entry's own request. */
+	readonly recordCrash: (crash: PartCrash, nowMs: number) => readonly PartDecision[];
+	/** Quarantines the causes of the crashes whose reports have arrived. To be called several times a second. */
+	readonly decide: (nowMs: number) => readonly PartDecision[];
+	/** Records a completed answer to a request with these shared parts. */
+	readonly recordAnswer: (partIds: readonly string[], nowMs: number) => readonly PartDecision[];
+	/** Merges the updates of a peer. */
+	readonly merge: (updates: PoisonPartUpdates, nowMs: number) => readonly PartDecision[];
+	/** Returns whether a request with these parts must not run. */
+	readonly isQuarantined: (partIds: readonly string[], nowMs: number) => boolean;
+	/** Returns the crashes and cleared parts that peers were not told yet. With `isComplete`, repeats the latest crashes and adds all quarantines. */
+	readonly takeUpdates: (nowMs: number, isComplete: boolean) => PoisonPartUpdates;
+};
+
+/** Number of crashes after which a part that was never answered is quarantined. */
+const MAX_CRASHES = 3;
+/** Number of crashes after which a part that was answered before is quarantined: as many as users allow, since it was probably running beside the cause. */
+const MAX_CRASHES_OF_ANSWERED_PART = 5;
+/** Time after a crash in which peers report what else the target was running. Before that, a bystander may look like the cause. */
+const SETTLING_MS = 600;
+/** Time for which a crash counts. */
+const CRASH_RETENTION_MS = 600_000;
+/** Duration of the first quarantine of a part. It doubles each time the part crashes a target after the end of its quarantine. */
+const QUARANTINE_MS = 120_000;
+const MAX_QUARANTINE_MS = 3_600_000;
+/** Time for which complete updates repeat a crash: several of them, so that one that is lost makes no difference. */
+const RESEND_MS = 4000;
+/** Maximum number of retained crashes, of requests in one crash, and of quarantines. The oldest are dropped first. */
+const MAX_RETAINED_CRASHES = 64;
+const MAX_REQUESTS_PER_CRASH = 64;
+const MAX_QUARANTINES = 64;
+/** Maximum number of parts whose last answer is remembered. The part whose last answer is the oldest is dropped first. */
+const MAX_ANSWERED_PARTS = 8192;
+
+type Crash = {readonly atMs: number; readonly requests: Array<readonly string[]>};
+type Quarantine = {readonly partIds: readonly string[]; readonly sinceMs: number; readonly durationMs: number};
+type Suspect = {readonly partId: string; readonly crashes: Crash[]; readonly wasAnswered: boolean};
+
+/** Creates a tracker that knows no crash. */
+export function createPoisonPartTracker(): PoisonPartTracker {
+	const crashes = new Map<string, Crash>();
+	const answeredAtMs = new Map<string, number>();
+	let quarantines: readonly Quarantine[] = [];
+	let localCrashes: Array<{readonly crash: PartCrash; readonly atMs: number; isPending: boolean}> = [];
+	const pendingCleared = new Set<string>();
+
+	const isClearedSince = (partId: string, atMs: number) => (answeredAtMs.get(partId) ?? Number.NEGATIVE_INFINITY) >= atMs;
+
+	/** Groups crashes by the parts that may have caused them, the most probable cause first. */
+	const listSuspects = (candidates: ReadonlySet<Crash>): Suspect[] => {
+		const suspects = new Map<string, Suspect>();
+		for (const crash of candidates) {
+			for (const partId of new Set(crash.requests.flat())) {
+				if (isClearedSince(partId, crash.atMs)) {
+					continue;
+				}
+
+				const suspect = suspects.get(partId) ?? {partId, crashes: [], wasAnswered: answeredAtMs.has(partId)};
+				suspect.crashes.push(crash);
+				suspects.set(partId, suspect);
+			}
+		}
+
+		return [...suspects.values()].filter(({crashes, wasAnswered}) => crashes.length >= (wasAnswered ? MAX_CRASHES_OF_ANSWERED_PART : MAX_CRASHES)).toSorted(compareSuspects);
+	};
+
+	/** Lists the parts that stand together with a suspect in each of its crashes and are as probable a cause. */
+	const listInseparableParts = (suspect: Suspect): string[] => {
+		const partIdsByCrash = suspect.crashes.map(({atMs, requests}) => new Set(requests
+			.filter(partIds => partIds.includes(suspect.partId))
+			.flatMap(partIds => partIds.filter(partId => !isClearedSince(partId, atMs) && answeredAtMs.has(partId) === suspect.wasAnswered))));
+		return [...partIdsByCrash[0] ?? []].filter(partId => partIdsByCrash.every(partIds => partIds.has(partId)));
+	};
+
+	/** Quarantines the causes of the known crashes that are not quarantined yet. */
+	const decide = (nowMs: number): PartDecision[] => {
+		const decisions: PartDecision[] = [];
+		const unexplained = new Set([...crashes.values()].filter(({atMs}) => nowMs - atMs >= SETTLING_MS));
+		for (let [culprit] = listSuspects(unexplained); culprit !== undefined; [culprit] = listSuspects(unexplained)) {
+			const partIds = listInseparableParts(culprit);
+			if (!quarantines.some(known => includesAll(partIds, known.partIds))) {
+				quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS}].slice(-MAX_QUARANTINES);
+				decisions.push({partIds, isQuarantined: true});
+			}
+
+			for (const crash of culprit.crashes) {
+				unexplained.delete(crash);
+			}
+		}
+
+		return decisions;
+	};
+
+	/** Renews quarantines that have ended before a request that they would have refused crashed a target. */
+	const renewQuarantines = (partIds: readonly string[], nowMs: number): PartDecision[] => {
+		const decisions: PartDecision[] = [];
+		quarantines = quarantines.map(quarantine => {
+			if (isActive(quarantine, nowMs) || !includesAll(partIds, quarantine.partIds)) {
+				return quarantine;
+			}
+
+			decisions.push({partIds: quarantine.partIds, isQuarantined: true});
+			return {...quarantine, sinceMs: nowMs, durationMs: Math.min(MAX_QUARANTINE_MS, 2 * quarantine.durationMs)};
+		});
+		return decisions;
+	};
+
+	const applyCrash = ([incarnation, partIds]: PartCrash, nowMs: number): PartDecision[] => {
+		for (const [key, {atMs}] of crashes) {
+			if (nowMs - atMs > CRASH_RETENTION_MS) {
+				crashes.delete(key);
+			}
+		}
+
+		const crash = crashes.get(incarnation) ?? {atMs: nowMs, requests: []};
+		if (crash.requests.length < MAX_REQUESTS_PER_CRASH && !crash.requests.some(known => known.join(',') === partIds.join(','))) {
+			crash.requests.push(partIds);
+		}
+
+		setBounded(crashes, {key: incarnation, value: crash, maxSize: MAX_RETAINED_CRASHES});
+		return renewQuarantines(partIds, nowMs);
+	};
+
+	/** Clears a part of the crashes up to now, so that the cause is one of the other parts of its quarantine. */
+	const clear = (partId: string, nowMs: number): PartDecision[] => {
+		answeredAtMs.delete(partId);
+		setBounded(answeredAtMs, {key: partId, value: nowMs, maxSize: MAX_ANSWERED_PARTS});
+		const affected = quarantines.filter(({partIds}) => partIds.includes(partId));
+		if (affected.length === 0) {
+			return [];
+		}
+
+		quarantines = quarantines
+			.map(quarantine => affected.includes(quarantine) ? {...quarantine, partIds: quarantine.partIds.filter(other => other !== partId)} : quarantine)
+			.filter(({partIds}) => partIds.length > 0);
+		return affected.filter(({partIds}) => partIds.length === 1).map(({partIds}) => ({partIds, isQuarantined: false}));
+	};
+
+	const isSuspect = (partId: string) => quarantines.some(({partIds}) => partIds.includes(partId))
+		|| [...crashes.values()].some(({requests, atMs}) => !isClearedSince(partId, atMs) && requests.some(partIds => partIds.includes(partId)));
+
+	const applyQuarantine = ([reportedIds, ageMs, durationMs]: PartQuarantine, nowMs: number): PartDecision[] => {
+		const sinceMs = nowMs - ageMs;
+		const partIds = reportedIds.filter(partId => !isClearedSince(partId, sinceMs));
+		for (const partId of reportedIds) {
+			if (isClearedSince(partId, sinceMs)) {
+				// The peer has missed that the part was cleared.
+				pendingCleared.add(partId);
+			}
+		}
+
+		const isKnown = quarantines.some(known => isActive(known, nowMs) && includesAll(partIds, known.partIds));
+		if (partIds.length === 0 || isKnown || ageMs >= durationMs) {
+			return [];
+		}
+
+		quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs, durationMs}].slice(-MAX_QUARANTINES);
+		return [{partIds, isQuarantined: true}];
+	};
+
+	return {
+		recordCrash(crash, nowMs) {
+			localCrashes.push({crash, atMs: nowMs, isPending: true});
+			return applyCrash(crash, nowMs);
+		},
+		decide: nowMs => crashes.size === 0 ? [] : decide(nowMs),
+		recordAnswer(partIds, nowMs) {
+			for (const partId of partIds) {
+				if (isSuspect(partId)) {
+					pendingCleared.add(partId);
+				}
+			}
+
+			return partIds.flatMap(partId => clear(partId, nowMs));
+		},
+		merge({crashes: reported, cleared, quarantines: reportedQuarantines}, nowMs) {
+			return [
+				...reported.flatMap(crash => applyCrash(crash, nowMs)),
+				...cleared.flatMap(partId => clear(partId, nowMs)),
+				...reportedQuarantines.flatMap(quarantine => applyQuarantine(quarantine, nowMs)),
+			];
+		},
+		isQuarantined: (partIds, nowMs) => quarantines.some(quarantine => isActive(quarantine, nowMs) && includesAll(partIds, quarantine.partIds)),
+		takeUpdates(nowMs, isComplete) {
+			localCrashes = localCrashes.filter(({atMs, isPending}) => isPending || nowMs - atMs <= RESEND_MS);
+			const updates: PoisonPartUpdates = {
+				crashes: localCrashes.filter(({isPending}) => isComplete || isPending).map(({crash}) => crash),
+				cleared: [...pendingCleared],
+				quarantines: isComplete
+					? quarantines.filter(quarantine => isActive(quarantine, nowMs)).map(({partIds, sinceMs, durationMs}) => [partIds, Math.round(nowMs - sinceMs), durationMs])
+					: [],
+			};
+			for (const local of localCrashes) {
+				local.isPending = false;
+			}
+
+			pendingCleared.clear();
+			return updates;
+		},
+	};
+}
+
+function isActive({sinceMs, durationMs}: Quarantine, nowMs: number): boolean {
+	return nowMs < sinceMs + durationMs;
+}
+
+function includesAll(partIds: readonly string[], required: readonly string[]): boolean {
+	return required.every(partId => partIds.includes(partId));
+}
+
+/**
+ * Orders suspects, the most probable cause first: a part that was never answered, then one of more crashes. The
+ * identifier makes all entries choose alike.
+ */
+function compareSuspects(left: Suspect, right: Suspect): number {
+	return Number(left.wasAnswered) - Number(right.wasAnswered)
+		|| right.crashes.length - left.crashes.length
+		|| (left.partId < right.partId ? -1 : 1);
+}
+
+/** Adds an entry to a map, which changes in place, and drops the oldest entry beyond the maximum size. */
+function setBounded<Key, Value>(map: Map<Key, Value>, {key, value, maxSize}: {key: Key; value: Value; maxSize: number}): void {
+	map.set(key, value);
+	const [oldest] = map.keys();
+	if (map.size > maxSize && oldest !== undefined) {
+		map.delete(oldest);
+	}
+}
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -9,6 +9,7 @@
 } from '../placement/placementState.js';
 import {HASH_RANGE, hashIdentifier} from '../routing/rendezvous.js';
 import {advanceRequest} from '../request/requestRecord.js';
+import {listSharedPartIds} from './crashHandlers.js';
 import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect} from './servingMessages.js';
 import {STAGES, type EngineRecord} from './servingRecords.js';
 import {type CallAttempt, type ServingCall, type ServingState} from './servingState.js';
@@ -53,6 +54,10 @@
 // eslint-disable-next-line max-params
 export function planNextAttempt(state: ServingState, call: ServingCall, nowMs: number, handle?: KvCacheHandle, hasRun = false): readonly ServingEffect[] {
 	releaseReservation(state, call);
+	if (state.poisonParts.isQuarantined(listSharedPartIds(call.request), nowMs)) {
+		return [...refuseExhaustedCall(state, call, ERROR_CODES.partQuarantined, hasRun), ...releaseHandle(call, handle, nowMs)];
+	}
+
 	const remainingMs = call.timeoutAtMs - nowMs;
 	const isRetry = handle === undefined && (call.attemptCount > 0 || call.failedPrefillCount > 0);
 	if (remainingMs < MIN_REMAINING_MS || (isRetry && !mayRetry(state, call, nowMs))) {
@@ -87,6 +92,7 @@
 		sentAtMs: nowMs,
 		responseDueAtMs: nowMs + RESPONSE_MARGIN_MS + (RESPONSE_WAIT_FACTOR * plan.expectedFirstByteMs),
 		hasFirstBytes: false,
+		firstBytesAtMs: undefined,
 		isEnded: false,
 	};
 	plan.target.localWork.running += 1;
@@ -293,6 +299,7 @@
 export function recordFirstBytes(state: ServingState, call: ServingCall, {nowMs, wallMs}: {nowMs: number; wallMs: number}): void {
 	const attempt = call.attempt!;
 	attempt.hasFirstBytes = true;
+	attempt.firstBytesAtMs = nowMs;
 	releaseQueuedWork(attempt);
 	recordAnswer(attempt.target, nowMs);
 	countUsage(state, call, wallMs);
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -4,6 +4,7 @@
 import {
 	recordFirstBytes, countUsage, endAttempt, planNextAttempt, createRefusal, releaseReservation,
 } from './callAttempts.js';
+import {listSharedPartIds, reportPartDecisions, suspectCrash} from './crashHandlers.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
 	ATTEMPT_RESULTS, type CallRequest, type ServingEffect, type ServingEvent,
@@ -138,9 +139,11 @@
 /** Handlers of the end of an attempt, by its result. */
 const attemptEndHandlers: Readonly<Record<AttemptEnded['result'], AttemptEndHandler>> = {
 	answered(state, call, {nowMs}) {
-		state.poisonRequests.recordAnswer(call.request.fingerprint);
+		const {request} = call;
+		state.poisonRequests.recordAnswer(request.fingerprint);
+		const decisions = state.poisonParts.recordAnswer(listSharedPartIds(request), nowMs);
 		advanceRequest(call, {type: 'finish'});
-		return endCall(state, call, {nowMs, outcome: 'answered'});
+		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered'})];
 	},
 	notRun(state, call, {nowMs, detail}) {
 		return retryNotRun(state, call, {nowMs, detail});
@@ -150,14 +153,16 @@
 	},
 	unknown(state, call, {nowMs, detail}) {
 		recordCrash(state, call, nowMs);
+		const probeEffects = suspectCrash(state, call, nowMs);
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		const next = advanceRequest(call, {type: 'failUnknown'});
 		if (next === 'retrying') {
-			return [createAttemptRecord(call, 'unknown', detail), ...planNextAttempt(state, call, nowMs)];
+			return [createAttemptRecord(call, 'unknown', detail), ...probeEffects, ...planNextAttempt(state, call, nowMs)];
 		}
 
 		return [
 			createAttemptRecord(call, 'unknown', detail),
+			...probeEffects,
 			...endCall(state, call, {nowMs, outcome: 'unknown'}),
 			createRefusal(call, ERROR_CODES.targetFailed, OUTCOMES.refusedUnknown),
 		];
@@ -206,7 +211,9 @@
 
 function createAttemptRecord({request, attempt}: ServingCall, result: string, detail: string): ServingEffect {
 	return {
-		type: 'decision.record', name: 'attempt.ended', subject: request.requestId, detail: {result, detail, target: attempt?.target.record.targetId},
+		type: 'decision.record', name: 'attempt.ended', subject: request.requestId, detail: {
+			result, detail, target: attempt?.target.record.targetId, ...(result === ATTEMPT_RESULTS.unknown && {parts: listSharedPartIds(request)}),
+		},
 	};
 }
 
@@ -269,6 +276,10 @@
 		return ERROR_CODES.quarantined;
 	}
 
+	if (state.poisonParts.isQuarantined(listSharedPartIds(request), nowMs)) {
+		return ERROR_CODES.partQuarantined;
+	}
+
 	const serviceId = pickService(route.shares, request.requestId);
 	return serviceId === undefined ? ERROR_CODES.noTarget : {route, serviceId, customerId: keyOwner?.customerId};
 }
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -4,6 +4,7 @@
 	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
 import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
+import {reportPartDecisions} from './crashHandlers.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingState} from './servingState.js';
 
@@ -90,7 +91,11 @@
 
 		state.poisonRequests.merge(report.crashes, nowMs);
 		state.usage.merge(report);
-		const effects = [...mergeLeaving(state, report), ...mergeEra(state, report)];
+		const effects = [
+			...reportPartDecisions(state.poisonParts.merge(report.poisonParts, nowMs), report.entryId),
+			...mergeLeaving(state, report),
+			...mergeEra(state, report),
+		];
 		const lastReport = state.placement.peers.get(report.entryId);
 		if (lastReport?.processId === report.processId && report.sequence <= lastReport.sequence) {
 			return effects;
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,4 +1,5 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
+import {type PoisonPartUpdates} from '../retries/poisonPartTracker.js';
 import {type CrashUpdate} from '../retries/poisonRequestTracker.js';
 import {type BaseEvent} from '../reducer/createReducer.js';
 import {type LeaseEffect, type LeaseEvent} from '../lease/leaseMessages.js';
@@ -79,6 +80,8 @@
 		| {readonly type: 'attempt.forward'; readonly callId: number; readonly attemptId: number}
 		/** Starts the timer of a call's timeout. */
 		| {readonly type: 'call.startTimeout'; readonly callId: number; readonly afterMs: number}
+		/** Checks whether a target accepts connections. */
+		| {readonly type: 'target.probe'; readonly target: TargetRecord}
 		| {readonly type: 'handle.free'; readonly target: TargetRecord; readonly handleId: string}
 		| {readonly type: 'order.send'; readonly target: TargetRecord; readonly stage: Stage; readonly fence: number; readonly remainingTermMs: number}
 		| {readonly type: 'usage.seal'; readonly sealed: SealedUsage; readonly expectedVersion: number}
@@ -113,6 +116,7 @@
 	readonly leaving: ReadonlyArray<readonly [targetId: string, startedAtMs: number]>;
 	/** Requests that crashed targets, and requests that were answered after such a crash. */
 	readonly crashes: readonly CrashUpdate[];
+	readonly poisonParts: PoisonPartUpdates;
 	/** Latest era of the metadata store that the entry has seen. */
 	readonly storeEra: number;
 	/** Figures that the entry has sealed lately, by window. */
@@ -142,6 +146,8 @@
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
 		/** A target said something about itself in an answer. */
 		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice}>
+		/** Whether a target accepts connections; undefined if it neither accepted nor refused one. */
+		| Timed<'target.probed', {readonly target: TargetRecord; readonly isListening: boolean | undefined}>
 		/** A call to the store failed, so registrations may have expired unnoticed. */
 		| Timed<'store.failed', {readonly detail: string}>
 		/** The store states its first era, or came back from an older copy: what earlier eras said may be gone. */
--- a/packages/core/src/serving/servingReducer.ts
+++ b/packages/core/src/serving/servingReducer.ts
@@ -2,6 +2,7 @@
 import {createReducer} from '../reducer/createReducer.js';
 import {requestUsageHandlers} from '../usage/requestUsageHandlers.js';
 import {callHandlers} from './callHandlers.js';
+import {crashHandlers} from './crashHandlers.js';
 import {peerHandlers} from './peerHandlers.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingState} from './servingState.js';
@@ -10,5 +11,5 @@
 
 /** Reducer of an entry that sends to targets directly, without sidecars. */
 export const reduceServing = createReducer<ServingState, ServingEvent, ServingEffect>({
-	tables: [peerHandlers, callHandlers, unresponsiveTargetHandlers, leaseHandlers, requestUsageHandlers, stageHandlers],
+	tables: [peerHandlers, callHandlers, crashHandlers, unresponsiveTargetHandlers, leaseHandlers, requestUsageHandlers, stageHandlers],
 });
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -2,6 +2,7 @@
 import {createTargetCatalog, type TargetCatalog} from '../membership/targetCatalog.js';
 import {createPlacementState, type PlacedTarget, type PlacementState} from '../placement/placementState.js';
 import {DEFAULT_PLACEMENT_SETTINGS, type PlacementSettings} from '../placement/placementSettings.js';
+import {createPoisonPartTracker, type PoisonPartTracker} from '../retries/poisonPartTracker.js';
 import {createPoisonRequestTracker, type PoisonRequestTracker} from '../retries/poisonRequestTracker.js';
 import {createSharedRetryBudget, type SharedRetryBudget} from '../retries/sharedRetryBudget.js';
 import {type MedianClock, createMedianClock} from '../usage/medianClock.js';
@@ -21,6 +22,7 @@
 	/** Time from which the target counts as unresponsive. */
 	responseDueAtMs: number;
 	hasFirstBytes: boolean;
+	firstBytesAtMs: number | undefined;
 	/** Whether the attempt no longer counts as work of the target, because it ended or was abandoned. */
 	isEnded: boolean;
 };
@@ -76,6 +78,9 @@
 	readonly maxDeadlineMsByRoute: Map<string, number>;
 	readonly retryBudget: SharedRetryBudget;
 	readonly poisonRequests: PoisonRequestTracker;
+	readonly poisonParts: PoisonPartTracker;
+	/** Shared prompt parts of the requests whose attempts ended with the connection to a target, by incarnation of the target, until it is known whether the target crashed. */
+	readonly suspectedCrashes: Map<string, {readonly atMs: number; readonly requests: Array<readonly string[]>}>;
 	readonly clock: MedianClock;
 	readonly usage: RequestUsage;
 	readonly lease: LeaseState;
@@ -134,6 +139,8 @@
 			retryRatio: options.retryRatio, allowance: options.retryAllowance, windowMs: options.budgetWindowMs,
 		}),
 		poisonRequests: createPoisonRequestTracker(),
+		poisonParts: createPoisonPartTracker(),
+		suspectedCrashes: new Map(),
 		clock: createMedianClock(),
 		usage: createRequestUsage({windowMs: options.usageWindowMs}),
 		lease: createLeaseState({
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -7,6 +7,7 @@
 import {createFailure} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {type TargetPools} from './createTargetPools.js';
+import {probeTarget} from './probeTarget.js';
 import {runAttempt} from './runAttempt.js';
 import {writeBufferedResponse} from './writeBufferedResponse.js';
 import {writeRefusal} from './writeRefusal.js';
@@ -27,7 +28,7 @@
 
 /** Registry of calls in progress, with the handlers of their effects. */
 export type CallEffects = {
-	readonly handlers: Pick<EffectHandlers<ServingEffect>, 'attempt.cancel' | 'attempt.forward' | 'attempt.send' | 'call.startTimeout' | 'call.refuse' | 'handle.free'>;
+	readonly handlers: Pick<EffectHandlers<ServingEffect>, 'attempt.cancel' | 'attempt.forward' | 'attempt.send' | 'call.startTimeout' | 'call.refuse' | 'handle.free' | 'target.probe'>;
 	readonly add: (handle: CallHandle) => void;
 	/** Removes a call and clears its timeout; does nothing for an unknown call. */
 	readonly end: (callId: number) => void;
@@ -51,6 +52,11 @@
 		}
 	};
 
+	const dispatchProbe = async (target: TargetRecord) => {
+		const isListening = await probeTarget(target.address);
+		dispatch({type: 'target.probed', target, isListening});
+	};
+
 	return {
 		add(handle) {
 			handles.set(handle.callId, handle);
@@ -127,6 +133,9 @@
 			'handle.free'({target, handleId}) {
 				void releaseHandle(target, handleId);
 			},
+			'target.probe'({target}) {
+				void dispatchProbe(target);
+			},
 		},
 	};
 }
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -51,6 +51,7 @@
 				// The complete list makes up for a lost report.
 				leaving: hasFullUsage ? listLeaving(state) : newlyLeaving,
 				crashes: state.poisonRequests.takeUpdates(),
+				poisonParts: state.poisonParts.takeUpdates(performance.now(), hasFullUsage),
 				storeEra: state.storeEra,
 				sealed: hasFullUsage ? state.usage.takeSealedForPeers() : [],
 				usage: state.usage.takeLocalCounts(state.clock.toMedianTime(readWallClock()), hasFullUsage),
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -14,6 +14,11 @@
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.string()])),
+	z.tuple([
+		z.array(z.tuple([z.string(), z.array(z.string())])),
+		z.array(z.string()),
+		z.array(z.tuple([z.array(z.string()), z.number(), z.number()])),
+	]),
 	z.number().int().nonnegative(),
 	z.array(z.tuple([z.number(), countsSchema])),
 	z.array(z.tuple([z.number(), countsSchema])),
@@ -25,7 +30,7 @@
 /**
  * Formats a report as a tuple.
  *
- * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, era of the store, sealed usage, usage
+ * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, poison parts (crashes, cleared parts, quarantines), era of the store, sealed usage, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportTuple {
 	return [
@@ -38,6 +43,11 @@
 		report.prefixUses.map(use => [...use]),
 		report.leaving.map(([targetId, startedAtMs]) => [targetId, startedAtMs]),
 		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
+		[
+			report.poisonParts.crashes.map(([incarnation, partIds]) => [incarnation, [...partIds]]),
+			[...report.poisonParts.cleared],
+			report.poisonParts.quarantines.map(([partIds, ageMs, durationMs]) => [[...partIds], ageMs, durationMs]),
+		],
 		report.storeEra,
 		report.sealed.map(([windowId, counts]) => [windowId, {...counts}]),
 		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
@@ -52,8 +62,8 @@
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
 	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
-		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, storeEra, sealed, usage]) => ({
-			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, storeEra, sealed, usage,
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, [partCrashes, cleared, quarantines], storeEra, sealed, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, storeEra, sealed, usage,
 		}))
 		: undefined;
 }
--- /dev/null
+++ b/packages/daemon/src/direct/probeTarget.ts
@@ -0,0 +1,38 @@
+import {connect} from 'node:net';
+
+/** Wait before the connection is opened: the process of a crashed target may still be ending. */
+const PROBE_DELAY_MS = 50;
+/** Time for a target to accept or refuse the connection: many round trips. */
+const PROBE_TIMEOUT_MS = 400;
+/** Errors with which the instance of a target refuses a connection because no process listens. */
+const REFUSING_CODES: ReadonlySet<string | undefined> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+
+/**
+ * Checks whether a target accepts connections. Sends nothing.
+ *
+ * @param address - `ip:port`
+ * @returns undefined if the connection was neither accepted nor refused in time
+ */
+export async function probeTarget(address: string): Promise<boolean | undefined> {
+	const [host = '', port = ''] = address.split(':');
+	await new Promise(resolve => {
+		setTimeout(resolve, PROBE_DELAY_MS);
+	});
+	return new Promise(resolve => {
+		const socket = connect({host, port: Number(port), timeout: PROBE_TIMEOUT_MS});
+		const settle = (isListening: boolean | undefined) => {
+			resolve(isListening);
+			socket.destroy();
+		};
+
+		socket.on('connect', () => {
+			settle(true);
+		});
+		socket.on('timeout', () => {
+			settle(undefined);
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			settle(REFUSING_CODES.has(error.code) ? false : undefined);
+		});
+	});
+}
