Do not take a stream without any event for complete when its connection ends

What callers could see: an empty stream as a complete success, where the target had crashed before its first event.

Cause: an answer without a length and without chunks ends with its connection, and a stream was complete wherever that is not inside an event, so also before the first one. Such an answer of a crashed target would also clear the part that crashed it.

Evidence: of eleven tests of answers that end with their connection, that one failed before; all pass. A resumed stream may still be empty. A crash that closes its connection between two events cannot be told from the end of the answer, except by a reset.

--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -178,6 +178,12 @@
 					return;
 				}
 
+				// A target that crashes may close its connections like one that has sent everything. A resumed stream may have nothing left.
+				if (!isDelimited && !hasBegun && handle.lastEventId === undefined) {
+					finish(ATTEMPT_RESULTS.unknown, 'the stream ended with its connection before its first event');
+					return;
+				}
+
 				begin();
 				writeHead(status, head);
 				response.end();
