--- a/packages/core/src/retries/poisonPartTracker.ts
+++ b/packages/core/src/retries/poisonPartTracker.ts
@@ -56,6 +56,8 @@
 const MAX_QUARANTINE_MS = 3_600_000;
 /** Time for which complete updates repeat a crash: several of them, so that one that is lost makes no difference. */
 const RESEND_MS = 4000;
+/** Maximum number of crashes that complete updates repeat. They must fit into one datagram together with reports of other entries. */
+const MAX_RESENT_CRASHES = 32;
 /** Maximum number of retained crashes, of requests in one crash, and of quarantines. The oldest are dropped first. */
 const MAX_RETAINED_CRASHES = 64;
 const MAX_REQUESTS_PER_CRASH = 64;
@@ -72,6 +74,8 @@
 	const crashes = new Map<string, Crash>();
 	const answeredAtMs = new Map<string, number>();
 	let quarantines: readonly Quarantine[] = [];
+	/** Causes that are not quarantined yet, because reports of peers may still show another one. Requests that have all parts of one are refused meanwhile. */
+	let unsettledCauses: readonly string[][] = [];
 	let localCrashes: Array<{readonly crash: PartCrash; readonly atMs: number; isPending: boolean}> = [];
 	const pendingCleared = new Set<string>();
 
@@ -103,22 +107,35 @@
 		return [...partIdsByCrash[0] ?? []].filter(partId => partIdsByCrash.every(partIds => partIds.has(partId)));
 	};
 
-	/** Quarantines the causes of the known crashes that are not quarantined yet. */
+	/** Lists the most probable causes of these crashes. Each is a set of parts of which one is the cause. */
+	const listCauses = (candidates: readonly Crash[]): string[][] => {
+		const causes: string[][] = [];
+		const unexplained = new Set(candidates);
+		for (let [culprit] = listSuspects(unexplained); culprit !== undefined; [culprit] = listSuspects(unexplained)) {
+			causes.push(listInseparableParts(culprit));
+			for (const crash of culprit.crashes) {
+				unexplained.delete(crash);
+			}
+		}
+
+		return causes;
+	};
+
+	const updateUnsettledCauses = () => {
+		unsettledCauses = listCauses([...crashes.values()]).filter(partIds => !quarantines.some(known => includesAll(partIds, known.partIds)));
+	};
+
+	/** Quarantines the causes of settled crashes that are not quarantined yet. */
 	const decide = (nowMs: number): PartDecision[] => {
 		const decisions: PartDecision[] = [];
-		const unexplained = new Set([...crashes.values()].filter(({atMs}) => nowMs - atMs >= SETTLING_MS));
-		for (let [culprit] = listSuspects(unexplained); culprit !== undefined; [culprit] = listSuspects(unexplained)) {
-			const partIds = listInseparableParts(culprit);
+		for (const partIds of listCauses([...crashes.values()].filter(({atMs}) => nowMs - atMs >= SETTLING_MS))) {
 			if (!quarantines.some(known => includesAll(partIds, known.partIds))) {
 				quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS}].slice(-MAX_QUARANTINES);
 				decisions.push({partIds, isQuarantined: true});
 			}
-
-			for (const crash of culprit.crashes) {
-				unexplained.delete(crash);
-			}
 		}
 
+		updateUnsettledCauses();
 		return decisions;
 	};
 
@@ -156,6 +173,7 @@
 	const clear = (partId: string, nowMs: number): PartDecision[] => {
 		answeredAtMs.delete(partId);
 		setBounded(answeredAtMs, {key: partId, value: nowMs, maxSize: MAX_ANSWERED_PARTS});
+		unsettledCauses = unsettledCauses.filter(partIds => !partIds.includes(partId));
 		const affected = quarantines.filter(({partIds}) => partIds.includes(partId));
 		if (affected.length === 0) {
 			return [];
@@ -191,8 +209,10 @@
 
 	return {
 		recordCrash(crash, nowMs) {
-			localCrashes.push({crash, atMs: nowMs, isPending: true});
-			return applyCrash(crash, nowMs);
+			localCrashes = [...localCrashes, {crash, atMs: nowMs, isPending: true}].slice(-MAX_RESENT_CRASHES);
+			const decisions = applyCrash(crash, nowMs);
+			updateUnsettledCauses();
+			return decisions;
 		},
 		decide: nowMs => crashes.size === 0 ? [] : decide(nowMs),
 		recordAnswer(partIds, nowMs) {
@@ -205,13 +225,19 @@
 			return partIds.flatMap(partId => clear(partId, nowMs));
 		},
 		merge({crashes: reported, cleared, quarantines: reportedQuarantines}, nowMs) {
-			return [
+			const decisions = [
 				...reported.flatMap(crash => applyCrash(crash, nowMs)),
 				...cleared.flatMap(partId => clear(partId, nowMs)),
 				...reportedQuarantines.flatMap(quarantine => applyQuarantine(quarantine, nowMs)),
 			];
+			if (reported.length > 0 || decisions.length > 0) {
+				updateUnsettledCauses();
+			}
+
+			return decisions;
 		},
-		isQuarantined: (partIds, nowMs) => quarantines.some(quarantine => isActive(quarantine, nowMs) && includesAll(partIds, quarantine.partIds)),
+		isQuarantined: (partIds, nowMs) => unsettledCauses.some(cause => includesAll(partIds, cause))
+			|| quarantines.some(quarantine => isActive(quarantine, nowMs) && includesAll(partIds, quarantine.partIds)),
 		takeUpdates(nowMs, isComplete) {
 			localCrashes = localCrashes.filter(({atMs, isPending}) => isPending || nowMs - atMs <= RESEND_MS);
 			const updates: PoisonPartUpdates = {
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -21,7 +21,9 @@
 			return [{
 				type: 'call.refuse', callId, code: resolved, outcome: OUTCOMES.refusedNotRun, retryAfterMs: undefined,
 			}, {
-				type: 'decision.record', name: 'call.rejected', subject: request.requestId, detail: {code: resolved, version: state.configuration?.version},
+				type: 'decision.record', name: 'call.rejected', subject: request.requestId, detail: {
+					code: resolved, version: state.configuration?.version, ...(resolved === ERROR_CODES.partQuarantined && {parts: listSharedPartIds(request)}),
+				},
 			}];
 		}
 
