--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -11,6 +11,8 @@
 		| {readonly kind: 'cut'}
 	/** Delays every chunk in both directions. */
 		| {readonly kind: 'delay'; readonly delayMs: number}
+	/** Limits the bytes that each connection carries in a direction. */
+		| {readonly kind: 'throttle'; readonly bytesPerSecond: number}
 	/** Discards the data that the client sends. */
 		| {readonly kind: 'loseRequests'}
 	/** Discards the data that the destination sends. */
@@ -36,6 +38,7 @@
 	none: {request: 'pass', reply: 'pass'},
 	cut: {request: 'break', reply: 'break'},
 	delay: {request: 'pass', reply: 'pass'},
+	throttle: {request: 'pass', reply: 'pass'},
 	loseRequests: {request: 'lose', reply: 'pass'},
 	loseReplies: {request: 'pass', reply: 'lose'},
 	silence: {request: 'silence', reply: 'silence'},
@@ -67,6 +70,12 @@
 				setTimeout(() => {
 					to.write(chunk);
 				}, fault.delayMs);
+			} else if (action === 'pass' && fault.kind === 'throttle') {
+				from.pause();
+				setTimeout(() => {
+					to.write(chunk);
+					from.resume();
+				}, 1000 * chunk.length / fault.bytesPerSecond);
 			} else if (action === 'pass' && !to.write(chunk)) {
 				from.pause();
 				to.once('drain', () => {
