Let the soak crash targets by parts of prompts, and blame no bystander at an entry that starts anew

Cause: an entry that was killed and started again merged crashes of two poison parts without the history of the part that they share, took that for the cause, and told all peers, which believed it. They refused the shared part from then on, so no answer could clear it.

Change: crashes with a part that is quarantined by itself count against no other part, and an entry adopts a quarantine of a peer only if it never saw an answer with one of its parts; if a part is sound by all it knows, it says so.

--- a/packages/core/src/retries/poisonPartTracker.ts
+++ b/packages/core/src/retries/poisonPartTracker.ts
@@ -107,10 +107,14 @@
 		return [...partIdsByCrash[0] ?? []].filter(partId => partIdsByCrash.every(partIds => partIds.has(partId)));
 	};
 
+	/** Returns whether a part that is quarantined by itself caused a crash. */
+	const isExplained = ({requests}: Crash) => quarantines.some(({partIds: [partId, ...others]}) =>
+		partId !== undefined && others.length === 0 && requests.some(partIds => partIds.includes(partId)));
+
 	/** Lists the most probable causes of these crashes. Each is a set of parts of which one is the cause. */
 	const listCauses = (candidates: readonly Crash[]): string[][] => {
 		const causes: string[][] = [];
-		const unexplained = new Set(candidates);
+		const unexplained = new Set(candidates.filter(crash => !isExplained(crash)));
 		for (let [culprit] = listSuspects(unexplained); culprit !== undefined; [culprit] = listSuspects(unexplained)) {
 			causes.push(listInseparableParts(culprit));
 			for (const crash of culprit.crashes) {
@@ -185,25 +189,28 @@
 		return affected.filter(({partIds}) => partIds.length === 1).map(({partIds}) => ({partIds, isQuarantined: false}));
 	};
 
-	const isSuspect = (partId: string) => quarantines.some(({partIds}) => partIds.includes(partId))
-		|| [...crashes.values()].some(({requests, atMs}) => !isClearedSince(partId, atMs) && requests.some(partIds => partIds.includes(partId)));
+	const isSuspectInCrash = (partId: string) =>
+		[...crashes.values()].some(({requests, atMs}) => !isClearedSince(partId, atMs) && requests.some(partIds => partIds.includes(partId)));
+
+	const isSuspect = (partId: string) => quarantines.some(({partIds}) => partIds.includes(partId)) || isSuspectInCrash(partId);
 
+	/** Returns whether a part was answered after every known crash of a request with it. */
+	const isSound = (partId: string) => answeredAtMs.has(partId) && !isSuspectInCrash(partId);
+
+	/** Adopts a quarantine of a peer if this entry knows less of its parts. Tells peers which of them are sound. */
 	const applyQuarantine = ([reportedIds, ageMs, durationMs]: PartQuarantine, nowMs: number): PartDecision[] => {
-		const sinceMs = nowMs - ageMs;
-		const partIds = reportedIds.filter(partId => !isClearedSince(partId, sinceMs));
-		for (const partId of reportedIds) {
-			if (isClearedSince(partId, sinceMs)) {
-				// The peer has missed that the part was cleared.
-				pendingCleared.add(partId);
-			}
+		const soundIds = reportedIds.filter(partId => isSound(partId));
+		for (const partId of soundIds) {
+			pendingCleared.add(partId);
 		}
 
+		const partIds = reportedIds.filter(partId => !soundIds.includes(partId));
 		const isKnown = quarantines.some(known => isActive(known, nowMs) && includesAll(partIds, known.partIds));
-		if (partIds.length === 0 || isKnown || ageMs >= durationMs) {
+		if (partIds.every(partId => answeredAtMs.has(partId)) || isKnown || ageMs >= durationMs) {
 			return [];
 		}
 
-		quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs, durationMs}].slice(-MAX_QUARANTINES);
+		quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs: nowMs - ageMs, durationMs}].slice(-MAX_QUARANTINES);
 		return [{partIds, isQuarantined: true}];
 	};
 
--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -29,6 +29,10 @@
 	readonly setFault: (fault: ProxyFault) => void;
 	/** Makes the open connections deliver nothing more, without closing them. New connections work. */
 	readonly silenceOpenConnections: () => void;
+	/** Ends like a process that crashes, until {@link resume} is called: resets every open connection and refuses new ones. */
+	readonly crash: () => void;
+	/** Listens again at the same address. */
+	readonly resume: () => Promise<void>;
 };
 
 type Direction = 'request' | 'reply';
@@ -125,18 +129,23 @@
 		}
 	};
 
+	const resetAll = () => {
+		for (const socket of sockets) {
+			socket.resetAndDestroy();
+		}
+	};
+
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
+	const {port: ownPort} = server.address() as AddressInfo;
 	return {
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		address: `127.0.0.1:${ownPort}`,
 		setFault(next) {
 			fault = next;
 			if (next.kind === 'cut') {
 				destroyAll();
 			} else if (next.kind === 'reset') {
-				for (const socket of sockets) {
-					socket.resetAndDestroy();
-				}
+				resetAll();
 			}
 		},
 		silenceOpenConnections() {
@@ -144,11 +153,23 @@
 				silentSockets.add(socket);
 			}
 		},
-		async close() {
-			const closed = once(server, 'close');
+		crash() {
 			server.close();
+			resetAll();
+		},
+		async resume() {
+			if (!server.listening) {
+				server.listen(ownPort, '127.0.0.1');
+				await once(server, 'listening');
+			}
+		},
+		async close() {
 			destroyAll();
-			await closed;
+			if (server.listening) {
+				const closed = once(server, 'close');
+				server.close();
+				await closed;
+			}
 		},
 	};
 }
