--- a/packages/core/src/retries/poisonPartTracker.ts
+++ b/packages/core/src/retries/poisonPartTracker.ts
@@ -126,15 +126,15 @@
 	};
 
 	const updateUnsettledCauses = () => {
-		unsettledCauses = listCauses([...crashes.values()]).filter(partIds => !quarantines.some(known => includesAll(partIds, known.partIds)));
+		unsettledCauses = listCauses([...crashes.values()]).filter(partIds => !quarantines.some(known => hasAll(partIds, known.partIds)));
 	};
 
 	/** Quarantines the causes of settled crashes that are not quarantined yet. */
 	const decide = (nowMs: number): PartDecision[] => {
 		const decisions: PartDecision[] = [];
 		for (const partIds of listCauses([...crashes.values()].filter(({atMs}) => nowMs - atMs >= SETTLING_MS))) {
-			if (!quarantines.some(known => includesAll(partIds, known.partIds))) {
-				quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS}].slice(-MAX_QUARANTINES);
+			if (!quarantines.some(known => hasAll(partIds, known.partIds))) {
+				quarantines = [...quarantines.filter(known => !hasAll(known.partIds, partIds)), {partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS}].slice(-MAX_QUARANTINES);
 				decisions.push({partIds, isQuarantined: true});
 			}
 		}
@@ -147,7 +147,7 @@
 	const renewQuarantines = (partIds: readonly string[], nowMs: number): PartDecision[] => {
 		const decisions: PartDecision[] = [];
 		quarantines = quarantines.map(quarantine => {
-			if (isActive(quarantine, nowMs) || !includesAll(partIds, quarantine.partIds)) {
+			if (isActive(quarantine, nowMs) || !hasAll(partIds, quarantine.partIds)) {
 				return quarantine;
 			}
 
@@ -205,12 +205,12 @@
 		}
 
 		const partIds = reportedIds.filter(partId => !soundIds.includes(partId));
-		const isKnown = quarantines.some(known => isActive(known, nowMs) && includesAll(partIds, known.partIds));
+		const isKnown = quarantines.some(known => isActive(known, nowMs) && hasAll(partIds, known.partIds));
 		if (partIds.every(partId => answeredAtMs.has(partId)) || isKnown || ageMs >= durationMs) {
 			return [];
 		}
 
-		quarantines = [...quarantines.filter(known => !includesAll(known.partIds, partIds)), {partIds, sinceMs: nowMs - ageMs, durationMs}].slice(-MAX_QUARANTINES);
+		quarantines = [...quarantines.filter(known => !hasAll(known.partIds, partIds)), {partIds, sinceMs: nowMs - ageMs, durationMs}].slice(-MAX_QUARANTINES);
 		return [{partIds, isQuarantined: true}];
 	};
 
@@ -243,8 +243,8 @@
 
 			return decisions;
 		},
-		isQuarantined: (partIds, nowMs) => unsettledCauses.some(cause => includesAll(partIds, cause))
-			|| quarantines.some(quarantine => isActive(quarantine, nowMs) && includesAll(partIds, quarantine.partIds)),
+		isQuarantined: (partIds, nowMs) => unsettledCauses.some(cause => hasAll(partIds, cause))
+			|| quarantines.some(quarantine => isActive(quarantine, nowMs) && hasAll(partIds, quarantine.partIds)),
 		takeUpdates(nowMs, isComplete) {
 			localCrashes = localCrashes.filter(({atMs, isPending}) => isPending || nowMs - atMs <= RESEND_MS);
 			const updates: PoisonPartUpdates = {
@@ -268,7 +268,7 @@
 	return nowMs < sinceMs + durationMs;
 }
 
-function includesAll(partIds: readonly string[], required: readonly string[]): boolean {
+function hasAll(partIds: readonly string[], required: readonly string[]): boolean {
 	return required.every(partId => partIds.includes(partId));
 }
 
--- a/packages/core/src/serving/__tests__/crashHandlers.test.ts
+++ b/packages/core/src/serving/__tests__/crashHandlers.test.ts
@@ -92,7 +92,8 @@
 
 		reduceServing(state, {type: 'tick', wallMs: 0, nowMs: SETTLED_MS});
 		const refusal = findRefusal(sendCall(state, 10, {partIds: ['common', 'bad'], nowMs: SETTLED_MS}));
-		assert.deepEqual([refusal?.code, refusal?.outcome], ['part_quarantined', OUTCOMES.refusedNotRun]);
+		// It has no retry-after, since coming back is of no use.
+		assert.deepEqual([refusal?.code, refusal?.outcome, refusal?.retryAfterMs], ['part_quarantined', OUTCOMES.refusedNotRun, undefined]);
 		const sound = findSend(sendCall(state, 11, {partIds: ['common', 'good'], nowMs: SETTLED_MS}));
 		assert.ok(sound !== undefined);
 		endAttempt(state, sound, {result: ATTEMPT_RESULTS.answered, nowMs: SETTLED_MS + 1});
