Do not let a fault proxy listen again after it was closed

A target of the soak that crashes in the last 0.7 s would have kept the process of its test from ending. Seen in reading the diff; no run showed it.

--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -31,7 +31,7 @@
 	readonly silenceOpenConnections: () => void;
 	/** Ends like a process that crashes, until {@link resume} is called: resets every open connection and refuses new ones. */
 	readonly crash: () => void;
-	/** Listens again at the same address. */
+	/** Listens again at the same address, unless the proxy was closed meanwhile. */
 	readonly resume: () => Promise<void>;
 };
 
@@ -61,6 +61,7 @@
 	const silentSockets = new WeakSet<Socket>();
 	const [host, port] = destinationAddress.split(':');
 	let fault: ProxyFault = {kind: 'none'};
+	let isClosed = false;
 
 	const forward = (from: Socket, to: Socket, direction: Direction) => {
 		sockets.add(from);
@@ -158,12 +159,13 @@
 			resetAll();
 		},
 		async resume() {
-			if (!server.listening) {
+			if (!isClosed && !server.listening) {
 				server.listen(ownPort, '127.0.0.1');
 				await once(server, 'listening');
 			}
 		},
 		async close() {
+			isClosed = true;
 			destroyAll();
 			if (server.listening) {
 				const closed = once(server, 'close');
