Drop what the quarantine of parts wrote again or held twice

Found in reading the whole change; behaviour is as it was.

- setNewest in shared serves the three bounded maps that evict their oldest entry (poison requests, poison parts, incarnations of targets).
- Whether an attempt has its first bytes follows from their time, so hasFirstBytes is gone.
- A call is checked for quarantined parts at its arrival and again before each later attempt, no longer twice at its arrival.
- Both places that add a quarantine use addQuarantine; probeTarget waits as the rest does; headers of a response have one type.

No test changed.

--- a/packages/core/src/membership/targetCatalog.ts
+++ b/packages/core/src/membership/targetCatalog.ts
@@ -5,6 +5,7 @@
  * could not renew it. Such a target is kept until it has had time to register
  * again.
  */
+import {setNewest} from '@damaskspool/shared';
 import {type TargetRecord} from '../serving/servingRecords.js';
 
 /** Known registrations of targets. */
@@ -107,12 +108,7 @@
 
 /** Records one incarnation of a target in a bounded map, which changes in place. */
 function recordIncarnation(targets: Map<string, number>, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): void {
-	targets.delete(targetId);
-	targets.set(targetId, startedAtMs);
-	const [oldest] = targets.keys();
-	if (targets.size > MAX_REMEMBERED_TARGETS && oldest !== undefined) {
-		targets.delete(oldest);
-	}
+	setNewest(targets, {key: targetId, value: startedAtMs, maxSize: MAX_REMEMBERED_TARGETS});
 }
 
 /**
--- a/packages/core/src/retries/poisonPartTracker.ts
+++ b/packages/core/src/retries/poisonPartTracker.ts
@@ -8,6 +8,7 @@
  * with all of them are refused, until a further crash or an answer shows which of them it is: sound requests that have
  * some of them are still served. Entries exchange crashes and cleared parts.
  */
+import {setNewest} from '@damaskspool/shared';
 
 /** Request that was running on a target when the target crashed: the incarnation of the target, and the parts that other requests may share, in order. */
 export type PartCrash = readonly [incarnation: string, partIds: readonly string[]];
@@ -129,12 +130,17 @@
 		unsettledCauses = listCauses([...crashes.values()]).filter(partIds => !quarantines.some(known => hasAll(partIds, known.partIds)));
 	};
 
+	/** Adds a quarantine, which replaces those that it narrows down. */
+	const addQuarantine = (quarantine: Quarantine) => {
+		quarantines = [...quarantines.filter(known => !hasAll(known.partIds, quarantine.partIds)), quarantine].slice(-MAX_QUARANTINES);
+	};
+
 	/** Quarantines the causes of settled crashes that are not quarantined yet. */
 	const decide = (nowMs: number): PartDecision[] => {
 		const decisions: PartDecision[] = [];
 		for (const partIds of listCauses([...crashes.values()].filter(({atMs}) => nowMs - atMs >= SETTLING_MS))) {
 			if (!quarantines.some(known => hasAll(partIds, known.partIds))) {
-				quarantines = [...quarantines.filter(known => !hasAll(known.partIds, partIds)), {partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS}].slice(-MAX_QUARANTINES);
+				addQuarantine({partIds, sinceMs: nowMs, durationMs: QUARANTINE_MS});
 				decisions.push({partIds, isQuarantined: true});
 			}
 		}
@@ -164,19 +170,22 @@
 			}
 		}
 
-		const crash = crashes.get(incarnation) ?? {atMs: nowMs, requests: []};
+		const knownCrash = crashes.get(incarnation);
+		const crash = knownCrash ?? {atMs: nowMs, requests: []};
+		if (knownCrash === undefined) {
+			setNewest(crashes, {key: incarnation, value: crash, maxSize: MAX_RETAINED_CRASHES});
+		}
+
 		if (crash.requests.length < MAX_REQUESTS_PER_CRASH && !crash.requests.some(known => known.join(',') === partIds.join(','))) {
 			crash.requests.push(partIds);
 		}
 
-		setBounded(crashes, {key: incarnation, value: crash, maxSize: MAX_RETAINED_CRASHES});
 		return renewQuarantines(partIds, nowMs);
 	};
 
 	/** Clears a part of the crashes up to now, so that the cause is one of the other parts of its quarantine. */
 	const clear = (partId: string, nowMs: number): PartDecision[] => {
-		answeredAtMs.delete(partId);
-		setBounded(answeredAtMs, {key: partId, value: nowMs, maxSize: MAX_ANSWERED_PARTS});
+		setNewest(answeredAtMs, {key: partId, value: nowMs, maxSize: MAX_ANSWERED_PARTS});
 		unsettledCauses = unsettledCauses.filter(partIds => !partIds.includes(partId));
 		const affected = quarantines.filter(({partIds}) => partIds.includes(partId));
 		if (affected.length === 0) {
@@ -210,7 +219,7 @@
 			return [];
 		}
 
-		quarantines = [...quarantines.filter(known => !hasAll(known.partIds, partIds)), {partIds, sinceMs: nowMs - ageMs, durationMs}].slice(-MAX_QUARANTINES);
+		addQuarantine({partIds, sinceMs: nowMs - ageMs, durationMs});
 		return [{partIds, isQuarantined: true}];
 	};
 
@@ -281,12 +290,3 @@
 		|| right.crashes.length - left.crashes.length
 		|| (left.partId < right.partId ? -1 : 1);
 }
-
-/** Adds an entry to a map, which changes in place, and drops the oldest entry beyond the maximum size. */
-function setBounded<Key, Value>(map: Map<Key, Value>, {key, value, maxSize}: {key: Key; value: Value; maxSize: number}): void {
-	map.set(key, value);
-	const [oldest] = map.keys();
-	if (map.size > maxSize && oldest !== undefined) {
-		map.delete(oldest);
-	}
-}
--- a/packages/core/src/retries/poisonRequestTracker.ts
+++ b/packages/core/src/retries/poisonRequestTracker.ts
@@ -4,6 +4,7 @@
  * a hash of method, path, caller and body. Each target that crashes while it runs
  * the request counts against it until an attempt of the request is answered.
  */
+import {setNewest} from '@damaskspool/shared';
 
 /** Crash that is reported to peers: the request's fingerprint and the target that crashed. An empty target identifier reports that the request was answered. */
 export type CrashUpdate = readonly [fingerprint: string, targetId: string];
@@ -48,12 +49,7 @@
 		}
 
 		const targetIds = findRecentCrashes(fingerprint, nowMs)?.targetIds ?? new Set<string>();
-		crashesByFingerprint.delete(fingerprint);
-		crashesByFingerprint.set(fingerprint, {targetIds: targetIds.add(targetId), lastCrashAtMs: nowMs});
-		const [oldest] = crashesByFingerprint.keys();
-		if (crashesByFingerprint.size > MAX_TRACKED_REQUESTS && oldest !== undefined) {
-			crashesByFingerprint.delete(oldest);
-		}
+		setNewest(crashesByFingerprint, {key: fingerprint, value: {targetIds: targetIds.add(targetId), lastCrashAtMs: nowMs}, maxSize: MAX_TRACKED_REQUESTS});
 	};
 
 	return {
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -54,7 +54,8 @@
 // eslint-disable-next-line max-params
 export function planNextAttempt(state: ServingState, call: ServingCall, nowMs: number, handle?: KvCacheHandle, hasRun = false): readonly ServingEffect[] {
 	releaseReservation(state, call);
-	if (state.poisonParts.isQuarantined(listSharedPartIds(call.request), nowMs)) {
+	// Before its first attempt, a call was checked at its arrival.
+	if (call.attempt !== undefined && state.poisonParts.isQuarantined(listSharedPartIds(call.request), nowMs)) {
 		return [...refuseExhaustedCall(state, call, ERROR_CODES.partQuarantined, hasRun), ...releaseHandle(call, handle, nowMs)];
 	}
 
@@ -91,7 +92,6 @@
 		queuedWork: {...plan.queuedWork},
 		sentAtMs: nowMs,
 		responseDueAtMs: nowMs + RESPONSE_MARGIN_MS + (RESPONSE_WAIT_FACTOR * plan.expectedFirstByteMs),
-		hasFirstBytes: false,
 		firstBytesAtMs: undefined,
 		isEnded: false,
 	};
@@ -298,7 +298,6 @@
  */
 export function recordFirstBytes(state: ServingState, call: ServingCall, {nowMs, wallMs}: {nowMs: number; wallMs: number}): void {
 	const attempt = call.attempt!;
-	attempt.hasFirstBytes = true;
 	attempt.firstBytesAtMs = nowMs;
 	releaseQueuedWork(attempt);
 	recordAnswer(attempt.target, nowMs);
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -79,7 +79,7 @@
 	'attempt.began'(state, {callId, attemptId, nowMs, wallMs}) {
 		const call = state.calls.get(callId);
 		const attempt = call?.attempt;
-		if (call === undefined || attempt?.attemptId !== attemptId || attempt.hasFirstBytes) {
+		if (call === undefined || attempt?.attemptId !== attemptId || attempt.firstBytesAtMs !== undefined) {
 			return [];
 		}
 
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -21,7 +21,7 @@
 	readonly sentAtMs: number;
 	/** Time from which the target counts as unresponsive. */
 	responseDueAtMs: number;
-	hasFirstBytes: boolean;
+	/** Arrival time of the first bytes of this attempt's response. */
 	firstBytesAtMs: number | undefined;
 	/** Whether the attempt no longer counts as work of the target, because it ended or was abandoned. */
 	isEnded: boolean;
--- a/packages/core/src/serving/unresponsiveTargetHandlers.ts
+++ b/packages/core/src/serving/unresponsiveTargetHandlers.ts
@@ -20,7 +20,7 @@
 		const effects: ServingEffect[] = [];
 		for (const call of state.calls.values()) {
 			const {attempt} = call;
-			if (attempt === undefined || attempt.hasFirstBytes || nowMs < attempt.responseDueAtMs || attempt.target.lastResponseAtMs > attempt.sentAtMs) {
+			if (attempt === undefined || attempt.firstBytesAtMs !== undefined || nowMs < attempt.responseDueAtMs || attempt.target.lastResponseAtMs > attempt.sentAtMs) {
 				continue;
 			}
 
--- a/packages/daemon/src/direct/probeTarget.ts
+++ b/packages/daemon/src/direct/probeTarget.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 
 /** Wait before the connection is opened: the process of a crashed target may still be ending. */
 const PROBE_DELAY_MS = 50;
@@ -15,9 +16,7 @@
  */
 export async function probeTarget(address: string): Promise<boolean | undefined> {
 	const [host = '', port = ''] = address.split(':');
-	await new Promise(resolve => {
-		setTimeout(resolve, PROBE_DELAY_MS);
-	});
+	await wait(PROBE_DELAY_MS);
 	return new Promise(resolve => {
 		const socket = connect({host, port: Number(port), timeout: PROBE_TIMEOUT_MS});
 		const settle = (isListening: boolean | undefined) => {
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -3,7 +3,7 @@
 import {
 	ATTEMPT_RESULTS, type AttemptResult, type SendServingAttempt, type TargetNotice,
 } from '@damaskspool/core';
-import {type ResponseHead, type DeploymentPorts} from '@damaskspool/runtime';
+import {type DeploymentPorts, type ResponseHead, type ResponseHeaders} from '@damaskspool/runtime';
 import {type CallHandle} from './callHandle.js';
 import {createEventSplitter} from './createEventSplitter.js';
 
@@ -37,8 +37,6 @@
 	readonly onEnded: (end: AttemptEnd) => void;
 };
 
-type Headers = Record<string, string | string[] | undefined>;
-
 /** Receives the body of a response. The head of the response determines which sink is used. */
 type BodySink = {
 	/** Returns false if the target's response must pause until the caller's connection drains. */
@@ -225,7 +223,7 @@
 		};
 	};
 
-	const pickSink = (status: number, head: ResponseHead, headers: Headers): BodySink | undefined => {
+	const pickSink = (status: number, head: ResponseHead, headers: ResponseHeaders): BodySink | undefined => {
 		if (attempt.isPrefillOnly) {
 			return createPrefillSink(status);
 		}
@@ -241,7 +239,7 @@
 		return String(headers['content-type']).startsWith(EVENT_STREAM) ? createStreamSink(status, head) : createBufferingSink(status, head);
 	};
 
-	const receiveHead = (status: number, headers: Headers) => {
+	const receiveHead = (status: number, headers: ResponseHeaders) => {
 		const head = ports.parseResponseHead(status, headers);
 		onNotice(head.notice);
 		// A late copy of the answer to an earlier request proves nothing about this one, even if it says "not run".
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -51,6 +51,9 @@
 	readonly lastEventId: string | undefined;
 };
 
+/** Headers of a response, with names in lower case. */
+export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** Parsed head of a target's response. */
 export type ResponseHead = {
 	/** Whether the head proves that the target did not run the request. */
@@ -96,7 +99,7 @@
 	readonly parseConfiguration: (value: unknown) => Result<ServingConfiguration, Failure>;
 	readonly parseTarget: (name: string, value: unknown) => Result<TargetRecord, Failure>;
 	readonly parseCallerRequest: (request: IncomingMessage) => CallerRequest;
-	readonly parseResponseHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => ResponseHead;
+	readonly parseResponseHead: (status: number, headers: ResponseHeaders) => ResponseHead;
 	/** Returns the headers of an attempt, as alternating names and values. `lastEventId` is set if the attempt resumes a stream. */
 	readonly formatAttemptHeaders: (send: SendServingAttempt, request: CallerRequest, lastEventId: string | undefined) => string[];
 	/** Returns the KV cache handle from the body of a disaggregated prefill's response, or undefined if it contains none. */
