--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -1,3 +1,4 @@
+import {type TargetLimit} from '../limits/targetLimit.js';
 import {type PromptPart, type TargetRecord} from '../serving/servingRecords.js';
 import {createPrefixLocations, type PrefixLocations} from './prefixLocations.js';
 
@@ -34,6 +35,8 @@
 	consecutiveFailures: number;
 	/** End of the pause that the target asked for. Until then it is not chosen at all. */
 	pausedUntilMs: number;
+	/** Limit that the target has named. */
+	limit: TargetLimit | undefined;
 	/** Last time at which a response of the target began or ended. */
 	lastResponseAtMs: number;
 };
@@ -81,7 +84,7 @@
 		const existing = state.targets.get(record.targetId);
 		if (existing === undefined) {
 			state.targets.set(record.targetId, {
-				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, lastResponseAtMs: 0,
+				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, limit: undefined, lastResponseAtMs: 0,
 			});
 			continue;
 		}
@@ -91,6 +94,7 @@
 			existing.consecutiveFailures = 0;
 			existing.backoffUntilMs = 0;
 			existing.pausedUntilMs = 0;
+			existing.limit = undefined;
 		}
 
 		existing.record = record;
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -3,9 +3,13 @@
 import {
 	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
-import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
+import {resolveLimit, type TargetLimit} from '../limits/targetLimit.js';
+import {
+	applyTargets, isLivePeer, PEER_TIMEOUT_MS, type PlacedTarget,
+} from '../placement/placementState.js';
 import {reportPartDecisions} from './crashHandlers.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
+import {type TargetRecord} from './servingRecords.js';
 import {type ServingState} from './servingState.js';
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
@@ -42,10 +46,14 @@
 			type: 'decision.record', name: 'process.suspended', subject: state.instanceId, detail: {suspendedMs},
 		}];
 	},
-	'target.noticed'(state, {target, notice, nowMs}) {
+	'target.noticed'(state, {target, notice, requestSentAtMs, nowMs}) {
 		const effects: ServingEffect[] = [];
-		const placed = state.placement.targets.get(target.targetId);
-		if (notice.pauseMs > 0 && placed?.record.startedAtMs === target.startedAtMs && nowMs + notice.pauseMs > placed.pausedUntilMs) {
+		const placed = findIncarnation(state, target);
+		if (placed !== undefined && notice.requestsPerSecond !== undefined) {
+			effects.push(...applyLimit(placed, resolveLimit(placed.limit, {requestsPerSecond: notice.requestsPerSecond, requestSentAtMs}, nowMs)));
+		}
+
+		if (notice.pauseMs > 0 && placed !== undefined && nowMs + notice.pauseMs > placed.pausedUntilMs) {
 			placed.pausedUntilMs = nowMs + notice.pauseMs;
 			effects.push({
 				type: 'decision.record', name: 'target.paused', subject: target.targetId, detail: {pauseMs: notice.pauseMs},
@@ -146,6 +154,30 @@
 	},
 };
 
+/** Returns the target if the given incarnation is the current one. */
+function findIncarnation({placement}: ServingState, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): PlacedTarget | undefined {
+	const placed = placement.targets.get(targetId);
+	return placed?.record.startedAtMs === startedAtMs ? placed : undefined;
+}
+
+/** Applies what is newly known about the limit of a target, and logs a change. */
+function applyLimit(target: PlacedTarget, limit: TargetLimit | undefined): readonly ServingEffect[] {
+	if (limit === undefined) {
+		return [];
+	}
+
+	const previous = target.limit?.requestsPerSecond ?? Number.POSITIVE_INFINITY;
+	target.limit = Number.isFinite(limit.requestsPerSecond) ? limit : undefined;
+	return previous === limit.requestsPerSecond
+		? []
+		: [{
+			type: 'decision.record',
+			name: target.limit === undefined ? 'target.limitEnded' : 'target.limited',
+			subject: target.record.targetId,
+			detail: {requestsPerSecond: target.limit?.requestsPerSecond, toldBy: 'answer'},
+		}];
+}
+
 /** Records the targets that a peer reports as about to stop. */
 function mergeLeaving(state: ServingState, {entryId, leaving}: PeerReport): readonly ServingEffect[] {
 	const news = leaving.filter(([targetId, startedAtMs]) => recordLeaving(state.catalog, {targetId, startedAtMs}));
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -144,8 +144,8 @@
 			readonly detail: string;
 		}>
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
-		/** A target said something about itself in an answer. */
-		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice}>
+		/** A target said something about itself in an answer. `requestSentAtMs` is undefined if that was the answer to a control call. */
+		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice; readonly requestSentAtMs?: number}>
 		/** Whether a target accepts connections; undefined if it neither accepted nor refused one. */
 		| Timed<'target.probed', {readonly target: TargetRecord; readonly isListening: boolean | undefined}>
 		/** A call to the store failed, so registrations may have expired unnoticed. */
--- a/packages/core/src/serving/servingRecords.ts
+++ b/packages/core/src/serving/servingRecords.ts
@@ -47,6 +47,11 @@
 	readonly isLeaving: boolean;
 	/** Time for which the target wants no request from this entry; zero if it does not ask for a pause. */
 	readonly pauseMs: number;
+	/**
+	 * Requests per second that the target takes from all entries together. `Infinity` if the answer names no limit,
+	 * undefined if it does not tell.
+	 */
+	readonly requestsPerSecond?: number | undefined;
 };
 
 /** A service that receives a share of a route's requests. */
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -21,6 +21,8 @@
 	readonly computeMaxConnections: (serviceId: string) => number;
 	/** Whether a target has asked for a pause that is not over. */
 	readonly isPaused: (targetId: string) => boolean;
+	/** Whether a target has named a limit that it has not ended. */
+	readonly isLimited: (targetId: string) => boolean;
 	/** Returns milliseconds since 1970. */
 	readonly readWallClock: () => number;
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
@@ -35,7 +37,7 @@
 };
 
 /** Creates the handlers of effects that concern calls, with an empty registry of calls. */
-export function createCallEffects({ports, metrics, pools, computeMaxConnections, isPaused, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
+export function createCallEffects({ports, metrics, pools, computeMaxConnections, isPaused, isLimited, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
 	const handles = new Map<number, CallHandle>();
 	const timers = new Map<number, NodeJS.Timeout>();
 
@@ -70,6 +72,7 @@
 					return;
 				}
 
+				const requestSentAtMs = performance.now();
 				handle.cancelAttempt = runAttempt({
 					attempt,
 					handle,
@@ -79,8 +82,11 @@
 					onProgress: pools.recordProgress,
 					isPaused: () => isPaused(target.targetId),
 					onNotice(notice) {
-						if (notice.isLeaving || notice.pauseMs > 0) {
-							dispatch({type: 'target.noticed', target, notice});
+						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
+						if (notice.isLeaving || notice.pauseMs > 0 || tellsLimit) {
+							dispatch({
+								type: 'target.noticed', target, notice, requestSentAtMs,
+							});
 						}
 					},
 					onResponseBegan() {
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -100,6 +100,7 @@
 		pools,
 		computeMaxConnections,
 		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
+		isLimited: targetId => state.placement.targets.get(targetId)?.limit !== undefined,
 		readWallClock,
 		dispatch(event) {
 			loop.dispatch(event);
