Keep all entries together to the limit that a target names

Callers saw nothing at first; the target in need got 69 to 82 requests in 4 s where it had asked for 17 (31 allowed), so it could not recover, and its callers waited.

A limit is divided without coordination: a few entries, chosen by rendezvous hashing, get equal shares with a small burst; the others send to other targets. If all entries had a share, each could send one request at the same moment, which is more than a low limit allows once there are many entries. Entries report what they hear, and an answer to a request that was sent after the last naming one ends the limit. A prefill also reserves its decode; control calls count; a service whose targets have no room refuses at once with spread return times. If no answer names the limit for 5 s, other entries get the shares, and at least one request in 4 s is sent, so that the end is noticed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -104,3 +104,5 @@
 export * from './retries/poisonPartTracker.js';
 export * from './retries/poisonRequestTracker.js';
 export * from './usage/medianClock.js';
+export * from './limits/targetLimit.js';
+export * from './serving/limitUpdates.js';
--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -1,3 +1,4 @@
+import {computeShareWaitMs, type LimitShare, takeFromShare} from '../limits/limitShare.js';
 import {type TargetLimit} from '../limits/targetLimit.js';
 import {type PromptPart, type TargetRecord} from '../serving/servingRecords.js';
 import {createPrefixLocations, type PrefixLocations} from './prefixLocations.js';
@@ -35,8 +36,10 @@
 	consecutiveFailures: number;
 	/** End of the pause that the target asked for. Until then it is not chosen at all. */
 	pausedUntilMs: number;
-	/** Limit that the target has named. */
+	/** Limit that the target has named, or ended lately. */
 	limit: TargetLimit | undefined;
+	/** Share of that limit which this entry may use. Undefined if the target takes any number of requests. */
+	limitShare: LimitShare | undefined;
 	/** Last time at which a response of the target began or ended. */
 	lastResponseAtMs: number;
 };
@@ -84,7 +87,7 @@
 		const existing = state.targets.get(record.targetId);
 		if (existing === undefined) {
 			state.targets.set(record.targetId, {
-				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, limit: undefined, lastResponseAtMs: 0,
+				record, localWork: createTargetWork(), backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, limit: undefined, limitShare: undefined, lastResponseAtMs: 0,
 			});
 			continue;
 		}
@@ -95,6 +98,7 @@
 			existing.backoffUntilMs = 0;
 			existing.pausedUntilMs = 0;
 			existing.limit = undefined;
+			existing.limitShare = undefined;
 		}
 
 		existing.record = record;
@@ -171,22 +175,44 @@
 	target.backoffUntilMs = 0;
 }
 
-/** Returns whether a target takes new requests: it is not about to stop and has not asked for a pause. */
-export function mayReceive({record, pausedUntilMs}: PlacedTarget, nowMs: number): boolean {
+/** Returns whether a target takes requests for which its limit leaves room: it is not about to stop and has not asked for a pause. */
+export function isAvailable({record, pausedUntilMs}: PlacedTarget, nowMs: number): boolean {
 	return !record.isLeaving && nowMs >= pausedUntilMs;
 }
 
+/** Returns whether this entry may send another request to a target. */
+export function mayReceive(target: PlacedTarget, nowMs: number): boolean {
+	return isAvailable(target, nowMs) && hasLimitRoom(target, nowMs);
+}
+
+/** Returns whether the limit of a target leaves room for another request of this entry. */
+export function hasLimitRoom(target: PlacedTarget, nowMs: number): boolean {
+	return computeLimitWaitMs(target, nowMs) === 0;
+}
+
+/** Computes the time until the limit of a target leaves room for another request of this entry. */
+function computeLimitWaitMs({limitShare}: PlacedTarget, nowMs: number): number {
+	return limitShare === undefined ? 0 : Math.max(0, computeShareWaitMs(limitShare, nowMs));
+}
+
+/** Takes a request from this entry's share of a target's limit, if the target has one. Changes the target in place. */
+export function takeLimitShare({limitShare}: PlacedTarget, nowMs: number): void {
+	if (limitShare !== undefined) {
+		takeFromShare(limitShare, nowMs);
+	}
+}
+
 /**
  * Computes the time until a target of a service takes requests again.
  *
- * @returns undefined unless all targets of the service that are not about to stop have asked for a pause
+ * @returns undefined unless all targets of the service that are not about to stop have asked for a pause or have limits that leave no room, or if this entry has no share of any limit
  */
 export function computePauseMs({targets}: PlacementState, serviceId: string, nowMs: number): number | undefined {
 	const pauses = [...targets.values()]
 		.filter(({record}) => record.serviceId === serviceId && !record.isLeaving)
-		.map(({pausedUntilMs}) => pausedUntilMs - nowMs);
+		.map(target => Math.max(target.pausedUntilMs - nowMs, computeLimitWaitMs(target, nowMs)));
 	const shortestMs = Math.min(...pauses);
-	return pauses.length > 0 && shortestMs > 0 ? Math.ceil(shortestMs) : undefined;
+	return Number.isFinite(shortestMs) && shortestMs > 0 ? Math.ceil(shortestMs) : undefined;
 }
 
 /** Lists the parts of a prompt that other requests may share, in order: all but the last. */
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -5,7 +5,7 @@
 import {placeCall} from '../placement/placeCall.js';
 import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
 import {
-	computePauseMs, listSharedParts, mayReceive, PEER_TIMEOUT_MS, type PlacedTarget, recordAnswer, recordFault,
+	computePauseMs, hasLimitRoom, isAvailable, listSharedParts, PEER_TIMEOUT_MS, type PlacedTarget, recordAnswer, recordFault, takeLimitShare,
 } from '../placement/placementState.js';
 import {HASH_RANGE, hashIdentifier} from '../routing/rendezvous.js';
 import {advanceRequest} from '../request/requestRecord.js';
@@ -95,6 +95,7 @@
 		firstBytesAtMs: undefined,
 		isEnded: false,
 	};
+	takeShares(call, plan, nowMs);
 	plan.target.localWork.running += 1;
 	addQueuedWork(plan.target, plan.queuedWork, 1);
 	recordPrefixUses(state, call, plan);
@@ -131,11 +132,27 @@
 	];
 }
 
-/** Releases the KV cache of a prompt that no target takes over, unless the target that holds it has asked for a pause. */
+/** Takes an attempt from the limits of its targets. A prefill also reserves the decode that follows it, for which it would be in vain without. */
+function takeShares(call: ServingCall, {target, isPrefillOnly, handle}: AttemptPlan, nowMs: number): void {
+	const isReserved = handle !== undefined && call.hasReservedShare && target === call.decodeTarget;
+	call.hasReservedShare = isPrefillOnly;
+	if (!isReserved) {
+		takeLimitShare(target, nowMs);
+	}
+
+	if (isPrefillOnly && call.decodeTarget !== undefined) {
+		takeLimitShare(call.decodeTarget, nowMs);
+	}
+}
+
+/** Releases the KV cache of a prompt that no target takes over, unless the target that holds it takes no request now. The cache then expires. */
 function releaseHandle({attempt}: ServingCall, handle: KvCacheHandle | undefined, nowMs: number): readonly ServingEffect[] {
-	return handle !== undefined && attempt !== undefined && nowMs >= attempt.target.pausedUntilMs
-		? [{type: 'handle.free', target: attempt.target.record, handleId: handle.handleId}]
-		: [];
+	if (handle === undefined || attempt === undefined || nowMs < attempt.target.pausedUntilMs || !hasLimitRoom(attempt.target, nowMs)) {
+		return [];
+	}
+
+	takeLimitShare(attempt.target, nowMs);
+	return [{type: 'handle.free', target: attempt.target.record, handleId: handle.handleId}];
 }
 
 /**
@@ -177,7 +194,7 @@
 		state: state.placement, serviceId: call.serviceId, excludedTargetIds: call.excludedTargetIds, nowMs,
 	});
 	return plan === undefined
-		? {refusal: ERROR_CODES.noTarget, retryAfterMs: computePauseMs(state.placement, call.serviceId, nowMs) ?? DEFAULT_RETRY_AFTER_MS}
+		? {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? DEFAULT_RETRY_AFTER_MS}
 		: {
 			target: plan.target, isPrefillOnly: false, queuedWork: NO_QUEUED_WORK, handle: undefined, cacheSource: undefined, expectedFirstByteMs: 0, detail: {running: plan.running},
 		};
@@ -200,7 +217,7 @@
 		nowMs,
 	});
 	if (plan === undefined) {
-		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computePauseMs(placement, call.serviceId, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
+		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
 	}
 
 	const refuseAboveMs = call.route.goalMs * (call.spentBeforeArrivalMs > 0 ? placementSettings.refuseReturnedAtGoals : placementSettings.refuseAtGoals);
@@ -236,6 +253,16 @@
 	return Math.round((deadlineAtMs - nowMs) * (returnShare + (returnSpreadShare * jitter)));
 }
 
+/**
+ * Computes the retry-after of a request for which no target has room because of pauses or limits. A limit has room for one
+ * request at a time, so the callers that it turns away are spread.
+ */
+function computeReturnMs(state: ServingState, call: ServingCall, nowMs: number): number | undefined {
+	const pauseMs = computePauseMs(state.placement, call.serviceId, nowMs);
+	const isLimited = [...state.placement.targets.values()].some(({record, limitShare}) => record.serviceId === call.serviceId && limitShare !== undefined);
+	return isLimited ? Math.max(pauseMs ?? 0, computeRetryAfterMs(state, call, nowMs)) : pauseMs;
+}
+
 /** Describes a plan for the log. The keys belong to the log format. */
 function describePlan({expectedFirstEventMs, prefillMs, copyMs, backlogMs, cachedTokens, cost, cacheSource, prefillTarget, decodeTarget}: GenerationPlan) {
 	return {
@@ -253,9 +280,9 @@
 /** Plans the decode after a disaggregated prefill, on the target chosen before the prefill or, if that is no longer available, on another one. */
 function planHandover(state: ServingState, call: ServingCall, handle: KvCacheHandle, nowMs: number): AttemptPlan | undefined {
 	const {decodeTarget} = call;
-	const isAvailable = decodeTarget !== undefined && state.placement.targets.get(decodeTarget.record.targetId) === decodeTarget
-		&& mayReceive(decodeTarget, nowMs) && decodeTarget.record.stage !== STAGES.prefill;
-	const target = isAvailable ? decodeTarget : findDecodeTarget(state, call, nowMs);
+	const isUsable = decodeTarget !== undefined && state.placement.targets.get(decodeTarget.record.targetId) === decodeTarget
+		&& isAvailable(decodeTarget, nowMs) && (call.hasReservedShare || hasLimitRoom(decodeTarget, nowMs)) && decodeTarget.record.stage !== STAGES.prefill;
+	const target = isUsable ? decodeTarget : findDecodeTarget(state, call, nowMs);
 	return target === undefined
 		? undefined
 		: {
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -46,6 +46,7 @@
 			excludedTargetIds: listCrashedTargets(state, request.fingerprint, {serviceId, nowMs}),
 			decodeTarget: undefined,
 			hasReservedSlot: false,
+			hasReservedShare: false,
 			isUsageCounted: false,
 			firstByteAtMs: undefined,
 			placementDetail: undefined,
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -3,13 +3,14 @@
 import {
 	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
-import {resolveLimit, type TargetLimit} from '../limits/targetLimit.js';
 import {
-	applyTargets, isLivePeer, PEER_TIMEOUT_MS, type PlacedTarget,
-} from '../placement/placementState.js';
+	isLimited, resolveLimit, resolveReportedLimit, type TargetLimit,
+} from '../limits/targetLimit.js';
+import {applyLimitShares} from '../placement/applyLimitShares.js';
+import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
 import {reportPartDecisions} from './crashHandlers.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
-import {type TargetRecord} from './servingRecords.js';
+import {applyAnsweredLimit, findIncarnation, mergeLimits} from './limitUpdates.js';
 import {type ServingState} from './servingState.js';
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
@@ -50,7 +51,7 @@
 		const effects: ServingEffect[] = [];
 		const placed = findIncarnation(state, target);
 		if (placed !== undefined && notice.requestsPerSecond !== undefined) {
-			effects.push(...applyLimit(placed, resolveLimit(placed.limit, {requestsPerSecond: notice.requestsPerSecond, requestSentAtMs}, nowMs)));
+			effects.push(...applyAnsweredLimit(state, placed, {requestsPerSecond: notice.requestsPerSecond, requestSentAtMs}, nowMs));
 		}
 
 		if (notice.pauseMs > 0 && placed !== undefined && nowMs + notice.pauseMs > placed.pausedUntilMs) {
@@ -102,6 +103,7 @@
 		const effects = [
 			...reportPartDecisions(state.poisonParts.merge(report.poisonParts, nowMs), report.entryId),
 			...mergeLeaving(state, report),
+			...mergeLimits(state, report, nowMs),
 			...mergeEra(state, report),
 		];
 		const lastReport = state.placement.peers.get(report.entryId);
@@ -131,6 +133,7 @@
 	},
 	tick(state, {nowMs}) {
 		const effects: ServingEffect[] = expireRegistrations(state.catalog, nowMs) ? [...applyCatalog(state)] : [];
+		applyLimitShares(state.placement, nowMs);
 		// Only the first few live entries read the lease often, to limit the load on the store.
 		rankDuties(state.lease, [...state.membership.peers.values()].filter(({instanceId}) => isLivePeer(state.placement, instanceId, nowMs)), nowMs);
 		for (const [entryId, peer] of state.placement.peers) {
@@ -154,30 +157,6 @@
 	},
 };
 
-/** Returns the target if the given incarnation is the current one. */
-function findIncarnation({placement}: ServingState, {targetId, startedAtMs}: Pick<TargetRecord, 'targetId' | 'startedAtMs'>): PlacedTarget | undefined {
-	const placed = placement.targets.get(targetId);
-	return placed?.record.startedAtMs === startedAtMs ? placed : undefined;
-}
-
-/** Applies what is newly known about the limit of a target, and logs a change. */
-function applyLimit(target: PlacedTarget, limit: TargetLimit | undefined): readonly ServingEffect[] {
-	if (limit === undefined) {
-		return [];
-	}
-
-	const previous = target.limit?.requestsPerSecond ?? Number.POSITIVE_INFINITY;
-	target.limit = Number.isFinite(limit.requestsPerSecond) ? limit : undefined;
-	return previous === limit.requestsPerSecond
-		? []
-		: [{
-			type: 'decision.record',
-			name: target.limit === undefined ? 'target.limitEnded' : 'target.limited',
-			subject: target.record.targetId,
-			detail: {requestsPerSecond: target.limit?.requestsPerSecond, toldBy: 'answer'},
-		}];
-}
-
 /** Records the targets that a peer reports as about to stop. */
 function mergeLeaving(state: ServingState, {entryId, leaving}: PeerReport): readonly ServingEffect[] {
 	const news = leaving.filter(([targetId, startedAtMs]) => recordLeaving(state.catalog, {targetId, startedAtMs}));
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,4 +1,5 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
+import {type ReportedLimit} from '../limits/targetLimit.js';
 import {type PoisonPartUpdates} from '../retries/poisonPartTracker.js';
 import {type CrashUpdate} from '../retries/poisonRequestTracker.js';
 import {type BaseEvent} from '../reducer/createReducer.js';
@@ -114,6 +115,8 @@
 	readonly prefixUses: ReadonlyArray<readonly [partId: string, targetId: string, tokens: number]>;
 	/** Targets that told this entry in an answer that they are about to stop. */
 	readonly leaving: ReadonlyArray<readonly [targetId: string, startedAtMs: number]>;
+	/** Limits that targets named or ended in answers to this entry. */
+	readonly limits: readonly ReportedLimit[];
 	/** Requests that crashed targets, and requests that were answered after such a crash. */
 	readonly crashes: readonly CrashUpdate[];
 	readonly poisonParts: PoisonPartUpdates;
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -48,6 +48,8 @@
 	readonly excludedTargetIds: Set<string>;
 	/** Target that decodes after a disaggregated prefill. */
 	decodeTarget: PlacedTarget | undefined;
+	/** Whether a request of this entry's share of the limit of `decodeTarget` is taken for the decode. */
+	hasReservedShare: boolean;
 	/** Whether part of a slot on `decodeTarget` counts as taken during the prefill. */
 	hasReservedSlot: boolean;
 	isUsageCounted: boolean;
@@ -90,6 +92,8 @@
 	unreportedPrefixUses: Array<PeerReport['prefixUses'][number]>;
 	/** Targets that told this entry that they are about to stop, not yet reported to peers. */
 	unreportedLeaving: Array<PeerReport['leaving'][number]>;
+	/** Targets that changed their limits in answers to this entry, not yet reported to peers. */
+	readonly unreportedLimits: Set<string>;
 	readonly fleet: {
 		/** Desired number of targets in stage `prefill`. If undefined, stages are not changed. */
 		readonly prefillTargets: number | undefined;
@@ -152,6 +156,7 @@
 		membership: {peers: new Map()},
 		unreportedPrefixUses: [],
 		unreportedLeaving: [],
+		unreportedLimits: new Set(),
 		fleet: {prefillTargets: options.prefillTargets, pendingOrderTargetId: undefined, nextOrderAtMs: 0},
 	};
 }
--- a/packages/core/src/serving/stageHandlers.ts
+++ b/packages/core/src/serving/stageHandlers.ts
@@ -1,7 +1,9 @@
 /** Sends orders that change the stage of engines. Only the holder of the control duty sends them. */
 import {SECOND_MS} from '@damaskspool/shared';
 import {findHeldDuty} from '../lease/leaseState.js';
-import {mayReceive, sumWork, type PlacedTarget} from '../placement/placementState.js';
+import {
+	mayReceive, sumWork, takeLimitShare, type PlacedTarget,
+} from '../placement/placementState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {STAGES, type Stage} from './servingRecords.js';
@@ -35,6 +37,7 @@
 		}
 
 		const {target, stage} = change;
+		takeLimitShare(target, nowMs);
 		fleet.pendingOrderTargetId = target.record.targetId;
 		return [
 			{
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -21,7 +21,7 @@
 	readonly computeMaxConnections: (serviceId: string) => number;
 	/** Whether a target has asked for a pause that is not over. */
 	readonly isPaused: (targetId: string) => boolean;
-	/** Whether a target has named a limit that it has not ended. */
+	/** Whether a target has named a limit, or ended one lately. */
 	readonly isLimited: (targetId: string) => boolean;
 	/** Returns milliseconds since 1970. */
 	readonly readWallClock: () => number;
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -1,5 +1,5 @@
 import {
-	isLivePeer, type PeerReport, planReportRoutes, type ServingState,
+	isLivePeer, type PeerReport, planReportRoutes, type ServingState, takeReportedLimits,
 } from '@damaskspool/core';
 import {type PeerAddress} from './createPeerDirectory.js';
 import {type PeerReceivers} from './createPeerLink.js';
@@ -50,6 +50,7 @@
 				prefixUses,
 				// The complete list makes up for a lost report.
 				leaving: hasFullUsage ? listLeaving(state) : newlyLeaving,
+				limits: takeReportedLimits(state, performance.now(), hasFullUsage),
 				crashes: state.poisonRequests.takeUpdates(),
 				poisonParts: state.poisonParts.takeUpdates(performance.now(), hasFullUsage),
 				storeEra: state.storeEra,
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -13,6 +13,7 @@
 	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
 	z.array(z.tuple([z.string(), z.string(), z.number()])),
 	z.array(z.tuple([z.string(), z.number()])),
+	z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
 	z.array(z.tuple([z.string(), z.string()])),
 	z.tuple([
 		z.array(z.tuple([z.string(), z.array(z.string())])),
@@ -30,7 +31,7 @@
 /**
  * Formats a report as a tuple.
  *
- * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, crashes, poison parts (crashes, cleared parts, quarantines), era of the store, sealed usage, usage
+ * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, limits, crashes, poison parts (crashes, cleared parts, quarantines), era of the store, sealed usage, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportTuple {
 	return [
@@ -42,6 +43,7 @@
 		report.work.map(work => [...work]),
 		report.prefixUses.map(use => [...use]),
 		report.leaving.map(([targetId, startedAtMs]) => [targetId, startedAtMs]),
+		report.limits.map(limit => [...limit]),
 		report.crashes.map(([fingerprint, targetId]) => [fingerprint, targetId]),
 		[
 			report.poisonParts.crashes.map(([incarnation, partIds]) => [incarnation, [...partIds]]),
@@ -62,8 +64,8 @@
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
 	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
-		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, [partCrashes, cleared, quarantines], storeEra, sealed, usage]) => ({
-			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, storeEra, sealed, usage,
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, [partCrashes, cleared, quarantines], storeEra, sealed, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, storeEra, sealed, usage,
 		}))
 		: undefined;
 }
