--- a/packages/core/src/placement/__tests__/createTestPlacement.ts
+++ b/packages/core/src/placement/__tests__/createTestPlacement.ts
@@ -16,7 +16,7 @@
  */
 export function createTestTarget(targetId: string, fields: Partial<TargetRecord> = {}): TargetRecord {
 	return {
-		targetId, serviceId: 'engines', address: '10.0.0.1:80', availabilityZone: 'zoneA', slots: 12, isLeaving: false, stage: STAGES.decode, startedAtMs: 1, ...fields,
+		targetId, serviceId: 'engines', address: '10.0.0.1:80', availabilityZone: 'zoneA', softwareVersion: 'v1', slots: 12, isLeaving: false, stage: STAGES.decode, startedAtMs: 1, ...fields,
 	};
 }
 
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -123,6 +123,8 @@
 				deadlineMs: call.request.deadlineMs,
 				spentMs: call.spentBeforeArrivalMs,
 				target: plan.target.record.targetId,
+				softwareVersion: plan.target.record.softwareVersion,
+				resumes: call.request.resumes,
 				attempt: call.attemptCount,
 				version: state.configuration?.version,
 				...plan.detail,
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -20,6 +20,8 @@
 	readonly deadlineMs: number;
 	readonly bodyBytes: number;
 	readonly prompt: PromptRecord | undefined;
+	/** The stream that the request takes up; undefined if it begins one. `requestId` is that of the request which brought the first event, if the caller names it. */
+	readonly resumes?: {readonly requestId: string | undefined; readonly lastEventId: string | undefined} | undefined;
 	/** Identical for requests with the same method, path, caller and body. */
 	readonly fingerprint: string;
 };
--- a/packages/core/src/serving/servingRecords.ts
+++ b/packages/core/src/serving/servingRecords.ts
@@ -31,6 +31,8 @@
 	/** `ip:port`. */
 	readonly address: string;
 	readonly availabilityZone: string;
+	/** Version of the target's software. A stream cannot go on at another version. */
+	readonly softwareVersion: string;
 	/** Number of requests that the target runs concurrently. */
 	readonly slots: number;
 	/** Whether the target is about to stop and takes no new requests. */
