Let a stream go on only at the software version that began it

The version follows from the first event. Later attempts of a call, and requests that take the stream up, use targets of that version only, and wait up to four goals for one. While a service has several versions, entries tell one another where streams began; when the second one appears they tell the streams in progress. If nobody has told an entry, it goes on only if the service has certainly had one version for longer than callers wait: entries exchange what they saw, and go without only while the store or a peer has confirmed it within 2 s. Otherwise it refuses at once as not run. A stream that is taken up stays with its service where a route is split.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -105,4 +105,6 @@
 export * from './retries/poisonRequestTracker.js';
 export * from './usage/medianClock.js';
 export * from './limits/targetLimit.js';
+export type * from './membership/serviceVersions.js';
+export type * from './membership/streamVersions.js';
 export * from './serving/limitUpdates.js';
--- /dev/null
+++ b/packages/core/src/membership/serviceVersions.ts
@@ -0,0 +1,112 @@
+/**
+ * Software versions of the targets of each service. Several versions may serve side by side. An entry that has just
+ * started, or that was cut off from the store, does not know by itself which ones served lately, so entries tell one
+ * another.
+ */
+import {type TargetRecord} from '../serving/servingRecords.js';
+
+/** What an entry tells its peers about software versions. */
+export type ReportedVersions = readonly [
+	/** Time for which the entry and the peers that it heard from have known all versions. */
+	historyMs: number,
+	/** Time since that knowledge was last confirmed by the store. */
+	staleMs: number,
+	versions: ReadonlyArray<readonly [serviceId: string, softwareVersion: string, ageMs: number]>,
+];
+
+/** Software versions of the targets of each service, as known to one entry. */
+export type ServiceVersions = {
+	/** Records the registered targets. */
+	readonly observe: (targets: readonly TargetRecord[], nowMs: number) => void;
+	/** Records that the store has confirmed the registered targets. */
+	readonly confirm: (nowMs: number) => void;
+	/** Makes all knowledge older by a time that the clock has not counted. */
+	readonly age: (suspendedMs: number) => void;
+	/** Returns whether targets of several versions served a service lately. */
+	readonly isMixed: (serviceId: string, nowMs: number) => boolean;
+	/**
+	 * Returns the version of a service, if it is certain that it has had no other for `horizonMs`. Before an entry has that
+	 * much history, it is certain only if there is no peer that could know of another version.
+	 */
+	readonly findSole: (serviceId: string, options: {readonly horizonMs: number; readonly hasPeers: boolean; readonly nowMs: number}) => string | undefined;
+	readonly merge: (reported: ReportedVersions, nowMs: number) => void;
+	readonly toReport: (nowMs: number) => ReportedVersions;
+};
+
+/** Time for which a version whose last target is gone still counts: longer than any stream lasts. */
+const RETENTION_MS = 60_000;
+/** Time without confirmation by the store, directly or through a peer, after which a version may have been added unnoticed. Watches of several entries end within it. */
+const MAX_STALE_MS = 2000;
+
+/** Creates the knowledge of an entry that has just started. */
+export function createServiceVersions(): ServiceVersions {
+	const seenAtMs = new Map<string, Map<string, number>>();
+	let knownSinceMs = Number.POSITIVE_INFINITY;
+	let confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+	const record = (serviceId: string, softwareVersion: string, atMs: number) => {
+		const versions = seenAtMs.get(serviceId) ?? new Map<string, number>();
+		seenAtMs.set(serviceId, versions);
+		versions.set(softwareVersion, Math.max(versions.get(softwareVersion) ?? atMs, atMs));
+	};
+
+	const listSince = (serviceId: string, sinceMs: number): string[] =>
+		[...seenAtMs.get(serviceId) ?? []].filter(([, atMs]) => atMs >= sinceMs).map(([softwareVersion]) => softwareVersion);
+
+	const forget = (nowMs: number) => {
+		for (const [serviceId, versions] of seenAtMs) {
+			for (const [softwareVersion, atMs] of versions) {
+				if (nowMs - atMs > RETENTION_MS) {
+					versions.delete(softwareVersion);
+				}
+			}
+
+			if (versions.size === 0) {
+				seenAtMs.delete(serviceId);
+			}
+		}
+	};
+
+	return {
+		observe(targets, nowMs) {
+			for (const {serviceId, softwareVersion} of targets) {
+				record(serviceId, softwareVersion, nowMs);
+			}
+
+			forget(nowMs);
+		},
+		confirm(nowMs) {
+			knownSinceMs = Math.min(knownSinceMs, nowMs);
+			confirmedAtMs = nowMs;
+		},
+		age(suspendedMs) {
+			confirmedAtMs -= suspendedMs;
+		},
+		isMixed: (serviceId, nowMs) => listSince(serviceId, nowMs - RETENTION_MS).length > 1,
+		findSole(serviceId, {horizonMs, hasPeers, nowMs}) {
+			const [version, ...others] = listSince(serviceId, nowMs - horizonMs);
+			const isCertain = (!hasPeers || knownSinceMs <= nowMs - horizonMs) && nowMs - confirmedAtMs <= MAX_STALE_MS;
+			return isCertain && others.length === 0 ? version : undefined;
+		},
+		merge([historyMs, staleMs, versions], nowMs) {
+			if (historyMs < 0) {
+				return;
+			}
+
+			for (const [serviceId, softwareVersion, ageMs] of versions) {
+				record(serviceId, softwareVersion, nowMs - Math.max(0, ageMs));
+			}
+
+			knownSinceMs = Math.min(knownSinceMs, nowMs - historyMs);
+			confirmedAtMs = Math.max(confirmedAtMs, nowMs - Math.max(0, staleMs));
+		},
+		toReport: nowMs => [
+			Number.isFinite(knownSinceMs) ? Math.round(nowMs - knownSinceMs) : UNKNOWN,
+			Number.isFinite(confirmedAtMs) ? Math.round(nowMs - confirmedAtMs) : UNKNOWN,
+			[...seenAtMs].flatMap(([serviceId, versions]) => [...versions].map(([softwareVersion, atMs]) => [serviceId, softwareVersion, Math.round(nowMs - atMs)] as const)),
+		],
+	};
+}
+
+/** Time in a report of an entry that knows no versions yet. */
+const UNKNOWN = -1;
--- a/packages/core/src/placement/placeCall.ts
+++ b/packages/core/src/placement/placeCall.ts
@@ -13,6 +13,8 @@
 	readonly serviceId: string;
 	/** Targets that already refused or failed this request. */
 	readonly excludedTargetIds: ReadonlySet<string>;
+	/** Software version of the target, if only one will do. */
+	readonly softwareVersion?: string | undefined;
 	readonly nowMs: number;
 };
 
@@ -29,12 +31,13 @@
  *
  * @returns the target, or undefined if no target is available or all queues are full
  */
-export function placeCall({state, serviceId, excludedTargetIds, nowMs}: PlaceCallOptions): CallPlan | undefined {
+export function placeCall({state, serviceId, excludedTargetIds, softwareVersion, nowMs}: PlaceCallOptions): CallPlan | undefined {
 	let best: CallPlan | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
 	for (const target of state.targets.values()) {
 		const {record} = target;
-		if (record.serviceId !== serviceId || !mayReceive(target, nowMs) || excludedTargetIds.has(record.targetId)) {
+		if (record.serviceId !== serviceId || !mayReceive(target, nowMs) || excludedTargetIds.has(record.targetId)
+			|| (softwareVersion !== undefined && record.softwareVersion !== softwareVersion)) {
 			continue;
 		}
 
--- a/packages/core/src/placement/placeGeneration.ts
+++ b/packages/core/src/placement/placeGeneration.ts
@@ -45,6 +45,8 @@
 	readonly goalRemainingMs: number;
 	/** Targets that already refused or failed this request. */
 	readonly excludedTargetIds: ReadonlySet<string>;
+	/** Software version of the target that decodes, if only one will do. */
+	readonly softwareVersion?: string | undefined;
 };
 
 /** Options of {@link placeGeneration}. */
@@ -93,7 +95,7 @@
 	const isLong = isLongPrompt(options.demand, options.settings);
 	const {longSlotShare} = options.settings;
 	const decodeCandidates = candidates.filter(({target, running}) =>
-		target.record.stage !== STAGES.prefill && (!isLong || running < target.record.slots * longSlotShare));
+		mayDecode(target, options.demand) && (!isLong || running < target.record.slots * longSlotShare));
 	const prefillCandidates = isLong
 		? candidates.filter(({target}) => target.record.stage === STAGES.prefill)
 		: [];
@@ -115,6 +117,11 @@
 	return best;
 }
 
+/** Returns whether the stage and the software version of a target allow it to decode a generation. */
+function mayDecode({record}: PlacedTarget, {softwareVersion}: GenerationDemand): boolean {
+	return record.stage !== STAGES.prefill && (softwareVersion === undefined || record.softwareVersion === softwareVersion);
+}
+
 function isLongPrompt({prompt}: GenerationDemand, {longReadTokens}: PlacementSettings): boolean {
 	return prompt.tokens > longReadTokens;
 }
@@ -140,7 +147,8 @@
 		});
 	}
 
-	return available.length > 0 ? available : backingOff;
+	const isEnough = demand.softwareVersion === undefined ? available.length > 0 : available.some(({target}) => mayDecode(target, demand));
+	return isEnough ? available : [...available, ...backingOff];
 }
 
 /** Picks the decode target with the lowest cost for a prompt that another target prefills. */
--- a/packages/core/src/placement/placementSettings.ts
+++ b/packages/core/src/placement/placementSettings.ts
@@ -42,6 +42,8 @@
 	readonly refuseAtGoals: number;
 	/** The same multiple for a request that comes again. It is late already, and its caller may not come a third time. */
 	readonly refuseReturnedAtGoals: number;
+	/** The same multiple for a stream that goes on after its first events. Its caller waits longer for the next event than for the first, and what it has would be lost. */
+	readonly refuseResumedAtGoals: number;
 	/** Minimum retry-after of a refused request, as a share of the time to its deadline. Short-term changes of the traffic mix have passed by then. */
 	readonly returnShare: number;
 	/** Maximum jitter added to the retry-after, as a share of the time to the deadline, so that refused callers do not all return at once. */
@@ -73,6 +75,7 @@
 	slotLoss: 0.05,
 	refuseAtGoals: 1.3,
 	refuseReturnedAtGoals: 1.3,
+	refuseResumedAtGoals: 4,
 	returnShare: 0.22,
 	returnSpreadShare: 0.1,
 	longReadTokens: 1500,
--- a/packages/core/src/serving/__tests__/targetLimit.test.ts
+++ b/packages/core/src/serving/__tests__/targetLimit.test.ts
@@ -1,57 +1,19 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {createTestTarget} from '../../placement/__tests__/createTestPlacement.js';
-import {takeReportedLimits} from '../limitUpdates.js';
-import {type PeerReport, type ServingEffect} from '../servingMessages.js';
+import {type ServingEffect} from '../servingMessages.js';
 import {reduceServing} from '../servingReducer.js';
-import {type RouteRecord, type ServingConfiguration} from '../servingRecords.js';
-import {createServingState, type ServingState} from '../servingState.js';
+import {
+	createFleetCall, createFleetState, createFleetTarget, createTestFleet, STEP_MS, type TestFleetEntry,
+} from './createTestFleet.js';
 
-const STEP_MS = 20;
-const REPORT_INTERVAL_MS = 100;
-const FULL_REPORT_INTERVAL_MS = 900;
-const TICK_INTERVAL_MS = 260;
 /** The users' `ContactMs`, and their rule: in each span, one and a half times what the limit allows, and five requests more. */
 const CONTACT_MS = 3000;
 const SPAN_MS = 4000;
 const LIMIT_FACTOR = 1.5;
 const EXTRA_REQUESTS = 5;
 
-const ROUTE: RouteRecord = {
-	name: 'safe', host: 'host', pathPrefix: '/', kind: 'safe', timeoutMs: 2000, goalMs: 300, attemptLimit: 3, priority: 0, isOpen: true, isResumable: false, shares: [{serviceId: 'plain', weight: 1}],
-};
-
-const CONFIGURATION: ServingConfiguration = {
-	version: 1,
-	routes: [ROUTE],
-	services: new Map([['plain', {serviceId: 'plain', connectionLimit: 100, engine: undefined}]]),
-	limits: {
-		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
-	},
-	ownersByKey: undefined,
-};
-
-const createPlainTarget = (targetId: string) => createTestTarget(targetId, {serviceId: 'plain', stage: undefined, slots: 12});
-
-function createEntry(instanceId: string): ServingState {
-	const state = createServingState({
-		instanceId, processId: `${instanceId}.1`, availabilityZone: 'zoneA', region: 'r', usageWindowMs: 5000, leaseMs: 3000, retryRatio: 0.2, retryAllowance: 1000, budgetWindowMs: 10_000,
-	});
-	reduceServing(state, {type: 'configuration.changed', configuration: CONFIGURATION, nowMs: 0});
-	reduceServing(state, {
-		type: 'targets.changed', targets: ['limited', 'other1', 'other2'].map(targetId => createPlainTarget(targetId)), removed: [], isComplete: true, nowMs: 0,
-	});
-	return state;
-}
-
-function createRandom(seed: number): () => number {
-	let value = seed + 1;
-	return () => {
-		value = ((value * 1_103_515_245) + 12_345) % (2 ** 31);
-		return value / (2 ** 31);
-	};
-}
+const TARGETS = ['limited', 'other1', 'other2'].map(targetId => createFleetTarget(targetId));
 
 type LoadOptions = {
 	readonly entryCount: number;
@@ -70,100 +32,50 @@
 
 /** Plays a load on entries before three targets, one of which names a limit in each answer. Returns when requests arrived there. */
 function playLoad(options: LoadOptions) {
-	const {entryCount, requestsPerSecond, callsPerSecond, reportLoss, reportDelayMs, skew, seed, lengthMs = 12_000, limitEndsAtMs = Number.POSITIVE_INFINITY} = options;
-	const random = createRandom(seed);
-	const entries = Array.from({length: entryCount}, (_, index) => createEntry(`entry${index}`));
-	const scheduled = new Map<number, Array<() => void>>();
+	const {requestsPerSecond, callsPerSecond, skew, lengthMs = 12_000, limitEndsAtMs = Number.POSITIVE_INFINITY} = options;
 	const arrivals: number[] = [];
-	let nowMs = 0;
 	let callId = 0;
 
-	const schedule = (afterMs: number, run: () => void) => {
-		const slot = Math.ceil((nowMs + Math.max(1, afterMs)) / STEP_MS);
-		scheduled.set(slot, [...scheduled.get(slot) ?? [], run]);
-	};
-
-	const runEffects = (state: ServingState, effects: readonly ServingEffect[]) => {
-		for (const effect of effects) {
-			if (effect.type === 'attempt.send') {
-				answer(state, effect);
-			}
-		}
-	};
-
-	const answer = (state: ServingState, {callId: answeredId, attemptId, target}: Extract<ServingEffect, {type: 'attempt.send'}>) => {
-		const requestSentAtMs = nowMs;
+	const answer = (entry: TestFleetEntry, {callId: answeredId, attemptId, target}: Extract<ServingEffect, {type: 'attempt.send'}>) => {
+		const requestSentAtMs = fleet.getNowMs();
 		if (target.targetId === 'limited') {
-			arrivals.push(nowMs);
+			arrivals.push(requestSentAtMs);
 		}
 
-		schedule(20 + (random() * 300), () => {
+		fleet.schedule(20 + (fleet.random() * 300), () => {
+			const nowMs = fleet.getNowMs();
 			const limit = target.targetId === 'limited' && nowMs < limitEndsAtMs ? requestsPerSecond : Number.POSITIVE_INFINITY;
-			reduceServing(state, {
+			fleet.dispatch(entry, {
 				type: 'target.noticed', target, notice: {isLeaving: false, pauseMs: 0, requestsPerSecond: limit}, requestSentAtMs, nowMs,
 			});
-			runEffects(state, reduceServing(state, {
+			fleet.dispatch(entry, {
 				type: 'attempt.ended', callId: answeredId, attemptId, result: 'answered', isResponseStarted: true, hasRun: true, wallMs: nowMs, detail: '', nowMs,
-			}));
+			});
 		});
 	};
 
-	const report = (state: ServingState, isComplete: boolean, sequence: number) => {
-		const message: PeerReport = {
-			entryId: state.instanceId, processId: state.processId, availabilityZone: 'zoneA', sequence, wallMs: nowMs, work: [], prefixUses: [], leaving: [], crashes: [],
-			limits: takeReportedLimits(state, nowMs, isComplete), poisonParts: {crashes: [], cleared: [], quarantines: []}, storeEra: 0, sealed: [], usage: [],
-		};
-		for (const peer of entries.filter(other => other !== state)) {
-			if (random() >= reportLoss) {
-				schedule(random() * reportDelayMs, () => {
-					deliver(peer, message);
-				});
+	const fleet = createTestFleet({
+		...options,
+		onEffect(entry, effect) {
+			if (effect.type === 'attempt.send') {
+				answer(entry, effect);
 			}
-		}
-	};
+		},
+	}, () => TARGETS);
 
-	const deliver = (peer: ServingState, message: PeerReport) => {
-		reduceServing(peer, {
-			type: 'peer.reported', report: message, wallMs: nowMs, nowMs,
-		});
+	const sendCall = () => {
+		callId += 1;
+		const index = fleet.random() < skew ? 0 : Math.floor(fleet.random() * fleet.entries.length);
+		fleet.dispatch(fleet.entries[index]!, createFleetCall(callId, {kind: 'safe', requestId: `request${callId}`}, fleet.getNowMs()));
 	};
 
-	const runStep = (step: number) => {
-		nowMs = step * STEP_MS;
-		for (const run of scheduled.get(step) ?? []) {
-			run();
-		}
-
-		scheduled.delete(step);
-		for (const state of entries) {
-			if (nowMs % REPORT_INTERVAL_MS === 0) {
-				report(state, nowMs % FULL_REPORT_INTERVAL_MS === 0, step + 1);
-			}
-
-			if (nowMs % TICK_INTERVAL_MS === 0) {
-				runEffects(state, reduceServing(state, {type: 'tick', wallMs: nowMs, nowMs}));
-			}
-		}
-
+	fleet.run(lengthMs, () => {
 		for (let expected = callsPerSecond * STEP_MS / 1000; expected > 0; expected -= 1) {
-			if (random() >= expected) {
-				continue;
+			if (fleet.random() < expected) {
+				sendCall();
 			}
-
-			callId += 1;
-			const state = random() < skew ? entries[0]! : entries[Math.floor(random() * entryCount)]!;
-			runEffects(state, reduceServing(state, {
-				type: 'call.arrived', callId, wallMs: nowMs, waitedMs: 0, nowMs, request: {
-					requestId: `request${callId}`, host: 'host', path: '/x', key: undefined, deadlineMs: 3000, bodyBytes: 0, prompt: undefined, fingerprint: `f${callId}`,
-				},
-			}));
 		}
-	};
-
-	for (let step = 0; step * STEP_MS < lengthMs; step += 1) {
-		runStep(step);
-	}
-
+	});
 	return {arrivals};
 }
 
@@ -214,8 +126,8 @@
 	});
 
 	it('end a limit that nobody has heard of for a while only by an answer to a later request', () => {
-		const state = createEntry('entry');
-		const target = createPlainTarget('limited');
+		const state = createFleetState('entry', 1, TARGETS);
+		const target = createFleetTarget('limited');
 		const notice = (requestsPerSecond: number, requestSentAtMs: number | undefined, nowMs: number) => {
 			reduceServing(state, {
 				type: 'target.noticed', target, notice: {isLeaving: false, pauseMs: 0, requestsPerSecond}, ...(requestSentAtMs !== undefined && {requestSentAtMs}), nowMs,
@@ -232,8 +144,8 @@
 	});
 
 	it('forget a limit when the target starts again', () => {
-		const state = createEntry('entry');
-		const target = createPlainTarget('limited');
+		const state = createFleetState('entry', 1, TARGETS);
+		const target = createFleetTarget('limited');
 		reduceServing(state, {
 			type: 'target.noticed', target, notice: {isLeaving: false, pauseMs: 0, requestsPerSecond: 1}, requestSentAtMs: 0, nowMs: 10,
 		});
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -3,6 +3,7 @@
 } from '@damaskspool/shared';
 import {computePrefillPriority} from '../placement/computePrefillPriority.js';
 import {placeCall} from '../placement/placeCall.js';
+import {type PlacementSettings} from '../placement/placementSettings.js';
 import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
 import {
 	computePauseMs, hasLimitRoom, isAvailable, listSharedParts, PEER_TIMEOUT_MS, type PlacedTarget, recordAnswer, recordFault, takeLimitShare,
@@ -88,6 +89,7 @@
 	call.attempt = {
 		attemptId,
 		target: plan.target,
+		softwareVersion: plan.target.record.softwareVersion,
 		isPrefillOnly: plan.isPrefillOnly,
 		queuedWork: {...plan.queuedWork},
 		sentAtMs: nowMs,
@@ -193,7 +195,7 @@
 
 function planCall(state: ServingState, call: ServingCall, nowMs: number): AttemptPlan | Refusal {
 	const plan = placeCall({
-		state: state.placement, serviceId: call.serviceId, excludedTargetIds: call.excludedTargetIds, nowMs,
+		state: state.placement, serviceId: call.serviceId, excludedTargetIds: call.excludedTargetIds, softwareVersion: call.streamVersion, nowMs,
 	});
 	return plan === undefined
 		? {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? DEFAULT_RETRY_AFTER_MS}
@@ -213,6 +215,7 @@
 			bodyBytes: call.request.bodyBytes,
 			goalRemainingMs,
 			excludedTargetIds: call.excludedTargetIds,
+			softwareVersion: call.streamVersion,
 		},
 		engine,
 		settings: placementSettings,
@@ -222,7 +225,7 @@
 		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
 	}
 
-	const refuseAboveMs = call.route.goalMs * (call.spentBeforeArrivalMs > 0 ? placementSettings.refuseReturnedAtGoals : placementSettings.refuseAtGoals);
+	const refuseAboveMs = call.route.goalMs * pickRefusalGoals(call, placementSettings);
 	if (plan.expectedFirstEventMs - plan.prefillMs > refuseAboveMs) {
 		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeRetryAfterMs(state, call, nowMs), detail: {...describePlan(plan), refuseAboveMs}};
 	}
@@ -245,6 +248,15 @@
 	};
 }
 
+/** Picks the multiple of the latency objective above which a wait is too long for a call. */
+function pickRefusalGoals({streamVersion, spentBeforeArrivalMs}: ServingCall, {refuseAtGoals, refuseReturnedAtGoals, refuseResumedAtGoals}: PlacementSettings): number {
+	if (streamVersion !== undefined) {
+		return refuseResumedAtGoals;
+	}
+
+	return spentBeforeArrivalMs > 0 ? refuseReturnedAtGoals : refuseAtGoals;
+}
+
 /**
  * Computes the retry-after of a refused request. It is long enough for the current change of the traffic mix to pass,
  * and the jitter is derived from the request identifier.
@@ -296,7 +308,7 @@
 	const prefillTargets = [...state.placement.targets.values()].filter(({record}) => record.stage === STAGES.prefill);
 	const excludedTargetIds = new Set([...call.excludedTargetIds, ...prefillTargets.map(({record}) => record.targetId)]);
 	return placeCall({
-		state: state.placement, serviceId: call.serviceId, excludedTargetIds, nowMs,
+		state: state.placement, serviceId: call.serviceId, excludedTargetIds, softwareVersion: call.streamVersion, nowMs,
 	})?.target;
 }
 
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -5,6 +5,9 @@
 	recordFirstBytes, countUsage, endAttempt, planNextAttempt, createRefusal, releaseReservation,
 } from './callAttempts.js';
 import {listSharedPartIds, reportPartDecisions, suspectCrash} from './crashHandlers.js';
+import {
+	findStreamVersion, isResumption, recordStreamVersion, toStreamRequestId,
+} from './streamContinuity.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
 	ATTEMPT_RESULTS, type CallRequest, type ServingEffect, type ServingEvent,
@@ -19,15 +22,15 @@
 		const resolved = resolveCall(state, request, nowMs);
 		if (typeof resolved === 'string') {
 			return [{
-				type: 'call.refuse', callId, code: resolved, outcome: OUTCOMES.refusedNotRun, retryAfterMs: undefined,
+				type: 'call.refuse', callId, code: resolved, outcome: OUTCOMES.refusedNotRun, retryAfterMs: resolved === ERROR_CODES.streamVersionUnknown ? STREAM_RETRY_AFTER_MS : undefined,
 			}, {
 				type: 'decision.record', name: 'call.rejected', subject: request.requestId, detail: {
-					code: resolved, version: state.configuration?.version, ...(resolved === ERROR_CODES.partQuarantined && {parts: listSharedPartIds(request)}),
+					code: resolved, version: state.configuration?.version, resumes: request.resumes, ...(resolved === ERROR_CODES.partQuarantined && {parts: listSharedPartIds(request)}),
 				},
 			}];
 		}
 
-		const {route, serviceId, customerId} = resolved;
+		const {route, serviceId, customerId, streamVersion} = resolved;
 		const isRetryable = route.kind === ROUTE_KINDS.safe || route.isResumable;
 		const call: ServingCall = {
 			callId,
@@ -44,6 +47,7 @@
 			attemptCount: 0,
 			failedPrefillCount: 0,
 			excludedTargetIds: listCrashedTargets(state, request.fingerprint, {serviceId, nowMs}),
+			streamVersion,
 			decodeTarget: undefined,
 			hasReservedSlot: false,
 			hasReservedShare: false,
@@ -87,6 +91,7 @@
 		recordFirstBytes(state, call, {nowMs, wallMs});
 		call.isResponseStarted = true;
 		call.firstByteAtMs ??= nowMs;
+		recordStreamVersion(state, call, nowMs);
 		advanceRequest(call, {type: 'answer'});
 		return [{type: 'work.report'}];
 	},
@@ -257,7 +262,10 @@
 	return deadlineMs >= maxDeadlineMs * FIRST_REQUEST_DEADLINE_SHARE ? 0 : maxDeadlineMs - deadlineMs;
 }
 
-type ResolvedCall = {readonly route: RouteRecord; readonly serviceId: string; readonly customerId: string | undefined};
+/** Retry-after of a stream whose version is not known: the time for reports of peers to arrive. */
+const STREAM_RETRY_AFTER_MS = 300;
+
+type ResolvedCall = {readonly route: RouteRecord; readonly serviceId: string; readonly customerId: string | undefined; readonly streamVersion: string | undefined};
 
 function resolveCall(state: ServingState, request: CallRequest, nowMs: number): ResolvedCall | ErrorCode {
 	const {configuration} = state;
@@ -283,8 +291,18 @@
 		return ERROR_CODES.partQuarantined;
 	}
 
-	const serviceId = pickService(route.shares, request.requestId);
-	return serviceId === undefined ? ERROR_CODES.noTarget : {route, serviceId, customerId: keyOwner?.customerId};
+	// A stream that is taken up stays with its service.
+	const serviceId = pickService(route.shares, toStreamRequestId(request));
+	if (serviceId === undefined) {
+		return ERROR_CODES.noTarget;
+	}
+
+	const streamVersion = findStreamVersion(state, {request, route, serviceId}, nowMs);
+	return isResumption(request, route) && streamVersion === undefined
+		? ERROR_CODES.streamVersionUnknown
+		: {
+			route, serviceId, customerId: keyOwner?.customerId, streamVersion,
+		};
 }
 
 function findKeyOwner({ownersByKey}: ServingConfiguration, {key}: CallRequest) {
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -11,6 +11,7 @@
 import {reportPartDecisions} from './crashHandlers.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {applyAnsweredLimit, findIncarnation, mergeLimits} from './limitUpdates.js';
+import {observeVersions} from './streamContinuity.js';
 import {type ServingState} from './servingState.js';
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
@@ -25,8 +26,18 @@
 	'targets.changed'(state, {nowMs, ...change}) {
 		state.hasTargets = true;
 		applyRegistrations(state.catalog, change, nowMs);
+		state.serviceVersions.confirm(nowMs);
+		observeVersions(state, nowMs);
 		return applyCatalog(state);
 	},
+	'targets.confirmed'(state, {nowMs}) {
+		state.serviceVersions.confirm(nowMs);
+		return [];
+	},
+	'peers.listed'(state, {peerCount}) {
+		state.registeredPeerCount = peerCount;
+		return [];
+	},
 	'store.failed'(state, {nowMs}) {
 		state.catalog.storeFailedAtMs = nowMs;
 		return [];
@@ -43,6 +54,7 @@
 		}];
 	},
 	'process.suspended'(state, {suspendedMs}) {
+		state.serviceVersions.age(suspendedMs);
 		return [{
 			type: 'decision.record', name: 'process.suspended', subject: state.instanceId, detail: {suspendedMs},
 		}];
@@ -100,6 +112,11 @@
 
 		state.poisonRequests.merge(report.crashes, nowMs);
 		state.usage.merge(report);
+		state.streamVersions.merge(report.streams, nowMs);
+		for (const reported of report.serviceVersions) {
+			state.serviceVersions.merge(reported, nowMs);
+		}
+
 		const effects = [
 			...reportPartDecisions(state.poisonParts.merge(report.poisonParts, nowMs), report.entryId),
 			...mergeLeaving(state, report),
@@ -134,6 +151,7 @@
 	tick(state, {nowMs}) {
 		const effects: ServingEffect[] = expireRegistrations(state.catalog, nowMs) ? [...applyCatalog(state)] : [];
 		applyLimitShares(state.placement, nowMs);
+		observeVersions(state, nowMs);
 		// Only the first few live entries read the lease often, to limit the load on the store.
 		rankDuties(state.lease, [...state.membership.peers.values()].filter(({instanceId}) => isLivePeer(state.placement, instanceId, nowMs)), nowMs);
 		for (const [entryId, peer] of state.placement.peers) {
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,5 +1,7 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
 import {type ReportedLimit} from '../limits/targetLimit.js';
+import {type ReportedVersions} from '../membership/serviceVersions.js';
+import {type ReportedStreams} from '../membership/streamVersions.js';
 import {type PoisonPartUpdates} from '../retries/poisonPartTracker.js';
 import {type CrashUpdate} from '../retries/poisonRequestTracker.js';
 import {type BaseEvent} from '../reducer/createReducer.js';
@@ -122,6 +124,10 @@
 	/** Requests that crashed targets, and requests that were answered after such a crash. */
 	readonly crashes: readonly CrashUpdate[];
 	readonly poisonParts: PoisonPartUpdates;
+	/** Streams that began since the previous report, while targets of several software versions serve. */
+	readonly streams: ReportedStreams;
+	/** Software versions of the targets of each service. Only complete reports have an element. */
+	readonly serviceVersions: readonly ReportedVersions[];
 	/** Latest era of the metadata store that the entry has seen. */
 	readonly storeEra: number;
 	/** Figures that the entry has sealed lately, by window. */
@@ -149,6 +155,10 @@
 			readonly detail: string;
 		}>
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
+		/** The store has confirmed that no registration of a target has changed. */
+		| Timed<'targets.confirmed', object>
+		/** The store lists the registered entries. */
+		| Timed<'peers.listed', {readonly peerCount: number}>
 		/** A target said something about itself in an answer. `requestSentAtMs` is undefined if that was the answer to a control call. */
 		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice; readonly requestSentAtMs?: number}>
 		/** Whether a target accepts connections; undefined if it neither accepted nor refused one. */
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -1,5 +1,7 @@
 import {createLeaseState, type LeaseState} from '../lease/leaseState.js';
 import {createTargetCatalog, type TargetCatalog} from '../membership/targetCatalog.js';
+import {createServiceVersions, type ServiceVersions} from '../membership/serviceVersions.js';
+import {createStreamVersions, type StreamVersions} from '../membership/streamVersions.js';
 import {createPlacementState, type PlacedTarget, type PlacementState} from '../placement/placementState.js';
 import {DEFAULT_PLACEMENT_SETTINGS, type PlacementSettings} from '../placement/placementSettings.js';
 import {createPoisonPartTracker, type PoisonPartTracker} from '../retries/poisonPartTracker.js';
@@ -15,6 +17,8 @@
 export type CallAttempt = {
 	readonly attemptId: number;
 	readonly target: PlacedTarget;
+	/** Version of the target's software when the attempt was sent. */
+	readonly softwareVersion: string;
 	readonly isPrefillOnly: boolean;
 	/** Prefill and copy time that counts as work of the target until the first bytes of its response. */
 	queuedWork: {prefillMs: number; urgentPrefillMs: number; copyMs: number};
@@ -46,6 +50,8 @@
 	/** Disaggregated prefills that ended without a handle. Unlike the first one that is accepted, they count as retries. */
 	failedPrefillCount: number;
 	readonly excludedTargetIds: Set<string>;
+	/** Software version that the stream of this call must go on at; undefined before its first event. */
+	streamVersion: string | undefined;
 	/** Target that decodes after a disaggregated prefill. */
 	decodeTarget: PlacedTarget | undefined;
 	/** Whether a request of this entry's share of the limit of `decodeTarget` is taken for the decode. */
@@ -81,11 +87,15 @@
 	readonly retryBudget: SharedRetryBudget;
 	readonly poisonRequests: PoisonRequestTracker;
 	readonly poisonParts: PoisonPartTracker;
+	readonly serviceVersions: ServiceVersions;
+	readonly streamVersions: StreamVersions;
 	/** Shared prompt parts of the requests whose attempts ended with the connection to a target, by incarnation of the target, until it is known whether the target crashed. */
 	readonly suspectedCrashes: Map<string, {readonly atMs: number; readonly requests: Array<readonly string[]>}>;
 	readonly clock: MedianClock;
 	readonly usage: RequestUsage;
 	readonly lease: LeaseState;
+	/** Number of other entries that the store lists; undefined before the first list. */
+	registeredPeerCount: number | undefined;
 	/** Peer entries that may acquire the duty. */
 	readonly membership: {readonly peers: Map<string, {instanceId: string; availabilityZone: string; region: string}>};
 	/** Prefix uses not yet reported to peers. */
@@ -144,6 +154,8 @@
 		}),
 		poisonRequests: createPoisonRequestTracker(),
 		poisonParts: createPoisonPartTracker(),
+		serviceVersions: createServiceVersions(),
+		streamVersions: createStreamVersions(),
 		suspectedCrashes: new Map(),
 		clock: createMedianClock(),
 		usage: createRequestUsage({windowMs: options.usageWindowMs}),
@@ -153,6 +165,7 @@
 			isReleasedAtStop: false,
 			duties: [{name: CONTROL_DUTY, scope: {kind: 'everywhere'}}],
 		}),
+		registeredPeerCount: undefined,
 		membership: {peers: new Map()},
 		unreportedPrefixUses: [],
 		unreportedLeaving: [],
--- /dev/null
+++ b/packages/core/src/serving/streamContinuity.ts
@@ -0,0 +1,67 @@
+/**
+ * Keeps a stream at the software version that began it: what two versions write does not fit together. The version follows
+ * from the first event, for later attempts of the same call and for callers that take the stream up with another request.
+ */
+import {listTargets} from '../membership/targetCatalog.js';
+import {type CallRequest} from './servingMessages.js';
+import {ROUTE_KINDS, type RouteRecord} from './servingRecords.js';
+import {type ServingCall, type ServingState} from './servingState.js';
+
+/** Added to the longest time that callers wait on a route: the delay until a change of the targets is known everywhere. */
+const CHANGE_DELAY_MS = 2000;
+
+/** Returns whether a request takes up a stream. */
+export function isResumption({resumes}: CallRequest, {kind}: RouteRecord): boolean {
+	return kind === ROUTE_KINDS.stream && resumes !== undefined;
+}
+
+/** Returns the identifier of the request that began, or will begin, the stream of a request. */
+export function toStreamRequestId({requestId, resumes}: CallRequest): string {
+	return resumes?.requestId ?? requestId;
+}
+
+/**
+ * Finds the software version that a request's stream must go on at. If nobody has told this entry, the version is certain
+ * only if the service has had a single one for longer than a caller waits.
+ *
+ * @returns undefined for a new stream, and if the version is not certain
+ */
+export function findStreamVersion(
+	state: ServingState,
+	{request, route, serviceId}: {readonly request: CallRequest; readonly route: RouteRecord; readonly serviceId: string},
+	nowMs: number,
+): string | undefined {
+	if (!isResumption(request, route)) {
+		return undefined;
+	}
+
+	const knownVersion = request.resumes?.requestId === undefined ? undefined : state.streamVersions.resolve(request.resumes.requestId, nowMs);
+	const longestWaitMs = Math.max(route.timeoutMs, state.maxDeadlineMsByRoute.get(route.name) ?? 0);
+	return knownVersion ?? state.serviceVersions.findSole(serviceId, {
+		horizonMs: longestWaitMs + CHANGE_DELAY_MS, hasPeers: state.registeredPeerCount !== 0, nowMs,
+	});
+}
+
+/**
+ * Records the version of a call's stream at the first event of an attempt.
+ *
+ * @param call - changed in place
+ */
+export function recordStreamVersion(state: ServingState, call: ServingCall, nowMs: number): void {
+	if (call.route.kind !== ROUTE_KINDS.stream || call.attempt === undefined) {
+		return;
+	}
+
+	call.streamVersion ??= call.attempt.softwareVersion;
+	state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: state.serviceVersions.isMixed(call.serviceId, nowMs), nowMs});
+}
+
+/** Records the software versions of the registered targets. Peers are told of streams in progress of services that have several versions now. */
+export function observeVersions(state: ServingState, nowMs: number): void {
+	state.serviceVersions.observe(listTargets(state.catalog), nowMs);
+	for (const call of state.calls.values()) {
+		if (call.isResponseStarted && call.streamVersion !== undefined && state.serviceVersions.isMixed(call.serviceId, nowMs)) {
+			state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: true, nowMs});
+		}
+	}
+}
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -202,6 +202,7 @@
 		store: ports.store, kind: ports.objects.entries, instanceId, address: {ip: settings.ip, port: settings.peerPorts[0], availabilityZone}, processId, logger,
 		onPeers(peers) {
 			addresses = peers;
+			loop.dispatch({type: 'peers.listed', peerCount: peers.size});
 			peerLink.scheduleReport();
 		},
 	});
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -53,6 +53,8 @@
 				limits: takeReportedLimits(state, performance.now(), hasFullUsage),
 				crashes: state.poisonRequests.takeUpdates(),
 				poisonParts: state.poisonParts.takeUpdates(performance.now(), hasFullUsage),
+				streams: state.streamVersions.takeUpdates(),
+				serviceVersions: hasFullUsage ? [state.serviceVersions.toReport(performance.now())] : [],
 				storeEra: state.storeEra,
 				sealed: hasFullUsage ? state.usage.takeSealedForPeers() : [],
 				usage: state.usage.takeLocalCounts(state.clock.toMedianTime(readWallClock()), hasFullUsage),
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -20,6 +20,8 @@
 		z.array(z.string()),
 		z.array(z.tuple([z.array(z.string()), z.number(), z.number()])),
 	]),
+	z.array(z.tuple([z.string(), z.array(z.string())])),
+	z.array(z.tuple([z.number(), z.number(), z.array(z.tuple([z.string(), z.string(), z.number()]))])),
 	z.number().int().nonnegative(),
 	z.array(z.tuple([z.number(), countsSchema])),
 	z.array(z.tuple([z.number(), countsSchema])),
@@ -31,7 +33,7 @@
 /**
  * Formats a report as a tuple.
  *
- * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, limits, crashes, poison parts (crashes, cleared parts, quarantines), era of the store, sealed usage, usage
+ * @returns entry, process, zone, sequence, wall clock time, work, uses, leaving targets, limits, crashes, poison parts (crashes, cleared parts, quarantines), streams, software versions, era of the store, sealed usage, usage
  */
 export function formatPeerReport(report: PeerReport): PeerReportTuple {
 	return [
@@ -50,6 +52,8 @@
 			[...report.poisonParts.cleared],
 			report.poisonParts.quarantines.map(([partIds, ageMs, durationMs]) => [[...partIds], ageMs, durationMs]),
 		],
+		report.streams.map(([softwareVersion, keys]) => [softwareVersion, [...keys]]),
+		report.serviceVersions.map(([historyMs, staleMs, versions]) => [historyMs, staleMs, versions.map(version => [...version])]),
 		report.storeEra,
 		report.sealed.map(([windowId, counts]) => [windowId, {...counts}]),
 		report.usage.map(([windowId, counts]) => [windowId, {...counts}]),
@@ -64,8 +68,8 @@
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
 	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
-		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, [partCrashes, cleared, quarantines], storeEra, sealed, usage]) => ({
-			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, storeEra, sealed, usage,
+		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, [partCrashes, cleared, quarantines], streams, serviceVersions, storeEra, sealed, usage]) => ({
+			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, streams, serviceVersions, storeEra, sealed, usage,
 		}))
 		: undefined;
 }
--- a/packages/daemon/src/direct/startStoreWatches.ts
+++ b/packages/daemon/src/direct/startStoreWatches.ts
@@ -66,6 +66,9 @@
 			recordRecovery(targets, version);
 			dispatch({type: 'targets.changed', isComplete, ...parseTargets(objects)});
 		},
+		onUnchanged() {
+			dispatch({type: 'targets.confirmed'});
+		},
 	});
 	void watchObjects({
 		store: ports.store,
--- a/packages/daemon/src/direct/watchObjects.ts
+++ b/packages/daemon/src/direct/watchObjects.ts
@@ -8,6 +8,8 @@
 	readonly kind: string;
 	/** Called with the full list of objects, or with the changes since the previous page. */
 	readonly onPage: (page: MetadataPage, isFullList: boolean) => void;
+	/** Called when a watch has ended without changes. */
+	readonly onUnchanged?: () => void;
 	readonly onFailure: (failure: Failure) => void;
 	readonly isStopped: () => boolean;
 };
@@ -27,7 +29,7 @@
  * watches for changes, and lists again if the store no longer retains the changes
  * since the last version seen.
  */
-export async function watchObjects({store, kind, onPage, onFailure, isStopped}: WatchObjectsOptions): Promise<void> {
+export async function watchObjects({store, kind, onPage, onUnchanged, onFailure, isStopped}: WatchObjectsOptions): Promise<void> {
 	let version: number | undefined;
 	let failureCount = 0;
 	while (!isStopped()) {
@@ -38,6 +40,8 @@
 			version = Math.max(version ?? 0, result.val.version);
 			if (isFullList || result.val.objects.length > 0) {
 				onPage(result.val, isFullList);
+			} else {
+				onUnchanged?.();
 			}
 
 			if (!isFullList && result.val.objects.length > 0) {
