--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -3,9 +3,6 @@
 import {
 	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
-import {
-	isLimited, resolveLimit, resolveReportedLimit, type TargetLimit,
-} from '../limits/targetLimit.js';
 import {applyLimitShares} from '../placement/applyLimitShares.js';
 import {applyTargets, isLivePeer, PEER_TIMEOUT_MS} from '../placement/placementState.js';
 import {reportPartDecisions} from './crashHandlers.js';
