Guard the limits of targets and the versions of streams

Two more tests: streams in progress are told to peers when a second version appears, and a stream that callers have a part of waits longer than a new one.

--- a/packages/core/src/serving/__tests__/createTestFleet.ts
+++ b/packages/core/src/serving/__tests__/createTestFleet.ts
@@ -86,6 +86,21 @@
 	return state;
 }
 
+/** Makes the only service of a state one of model engines. */
+export function applyEngineConfiguration(state: ServingState): void {
+	const engine = {kvCapacityTokens: 600_000, kvBytesPerToken: 18_432, linkMbps: 180_000};
+	reduceServing(state, {
+		type: 'configuration.changed', configuration: {...CONFIGURATION, version: 2, services: new Map([['plain', {serviceId: 'plain', connectionLimit: 100, engine}]])}, nowMs: 0,
+	});
+}
+
+/** Adds a prompt to a call. */
+export function addPrompt(event: ServingEvent, tokens: number): ServingEvent {
+	return event.type === 'call.arrived'
+		? {...event, request: {...event.request, prompt: {tokens, maxOutputTokens: 10, parts: [{partId: 'own', tokens}]}}}
+		: event;
+}
+
 /** Creates entries that know the given targets and that exchange reports once the fleet runs. */
 export function createTestFleet({entryCount, reportLoss, reportDelayMs, seed, onEffect}: TestFleetOptions, listTargets: () => readonly TargetRecord[]): TestFleet {
 	let randomValue = seed + 1;
--- a/packages/core/src/serving/__tests__/streamContinuity.test.ts
+++ b/packages/core/src/serving/__tests__/streamContinuity.test.ts
@@ -2,9 +2,10 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {type ServingEffect} from '../servingMessages.js';
+import {reduceServing} from '../servingReducer.js';
 import {type TargetRecord} from '../servingRecords.js';
 import {
-	createFleetCall, createFleetState, createFleetTarget, createTestFleet, type TestFleetEntry,
+	addPrompt, applyEngineConfiguration, createFleetCall, createFleetState, createFleetTarget, createTestFleet, type TestFleetEntry,
 } from './createTestFleet.js';
 
 const LENGTH_MS = 14_000;
@@ -240,13 +241,48 @@
 		assert.ok(takenUp.length > 50 && whole.length > takenUp.length / 2, `${whole.length} of ${takenUp.length} streams went on`);
 	});
 
-	it('are told to peers when a second version appears while they run', () => {
+	it('are told to peers once when a second version appears while they run', () => {
 		const state = createFleetState('entry', 1, [createFleetTarget('target1', {softwareVersion: 'v1'})]);
-		state.streamVersions.record('stream', 'v1', {isShared: false, nowMs: 0});
+		reduceServing(state, createFleetCall(1, {kind: 'stream', requestId: 'stream'}, 0));
+		reduceServing(state, {
+			type: 'attempt.began', callId: 1, attemptId: 1, wallMs: 10, nowMs: 10,
+		});
+		assert.deepEqual(state.streamVersions.takeUpdates(), []);
+		reduceServing(state, {
+			type: 'targets.changed', targets: [createFleetTarget('target2', {softwareVersion: 'v2'})], removed: [], isComplete: false, nowMs: 20,
+		});
+		assert.deepEqual(state.streamVersions.takeUpdates().map(([softwareVersion, keys]) => [softwareVersion, keys.length]), [['v1', 1]]);
+		reduceServing(state, {type: 'tick', wallMs: 30, nowMs: 30});
 		assert.deepEqual(state.streamVersions.takeUpdates(), []);
-		state.streamVersions.record('stream', 'v1', {isShared: true, nowMs: 1});
-		state.streamVersions.record('stream', 'v1', {isShared: true, nowMs: 2});
-		const [update, ...others] = state.streamVersions.takeUpdates();
-		assert.deepEqual([update?.[0], update?.[1].length, others, state.streamVersions.takeUpdates()], ['v1', 1, [], []]);
+	});
+
+	// Guards against streams of which callers have a part and that are refused as readily as new ones.
+	it('wait longer for a target than new ones before they are refused', () => {
+		const state = createFleetState('entry', 1, [createFleetTarget('target1', {stage: 'decode'})]);
+		applyEngineConfiguration(state);
+		state.placement.targets.get('target1')!.localWork.prefillMs = 600;
+		state.streamVersions.record('stream', 'v1', {isShared: false, nowMs: 0});
+		const send = (callId: number, resumes?: string) => {
+			const event = createFleetCall(callId, {kind: 'stream', requestId: `request${callId}`, ...(resumes !== undefined && {resumes})}, 0);
+			return reduceServing(state, addPrompt(event, 2000)).map(({type}) => type);
+		};
+
+		assert.ok(send(1).includes('call.refuse'));
+		assert.ok(send(2, 'stream').includes('attempt.send'));
+	});
+
+	it('are not taken up if another version may have been added while the entry heard of no targets', () => {
+		const resume = (heardAtMs: number, nowMs: number, suspendedMs = 0) => {
+			const state = createFleetState('entry', 1, [createFleetTarget('target1', {softwareVersion: 'v1'})]);
+			reduceServing(state, {type: 'targets.confirmed', nowMs: heardAtMs});
+			if (suspendedMs > 0) {
+				reduceServing(state, {type: 'process.suspended', suspendedMs, nowMs: heardAtMs});
+			}
+
+			reduceServing(state, {type: 'tick', wallMs: nowMs, nowMs});
+			return reduceServing(state, createFleetCall(1, {kind: 'stream', requestId: 'again', resumes: 'unknown'}, nowMs)).some(({type}) => type === 'attempt.send');
+		};
+
+		assert.deepEqual([resume(20_000, 21_500), resume(20_000, 23_000), resume(20_000, 21_500, 3000)], [true, false, false]);
 	});
 });
--- a/packages/core/src/serving/__tests__/targetLimit.test.ts
+++ b/packages/core/src/serving/__tests__/targetLimit.test.ts
@@ -4,7 +4,7 @@
 import {type ServingEffect} from '../servingMessages.js';
 import {reduceServing} from '../servingReducer.js';
 import {
-	createFleetCall, createFleetState, createFleetTarget, createTestFleet, STEP_MS, type TestFleetEntry,
+	addPrompt, applyEngineConfiguration, createFleetCall, createFleetState, createFleetTarget, createTestFleet, STEP_MS, type TestFleetEntry,
 } from './createTestFleet.js';
 
 /** The users' `ContactMs`, and their rule: in each span, one and a half times what the limit allows, and five requests more. */
@@ -158,4 +158,28 @@
 		});
 		assert.equal(state.placement.targets.get('limited')!.limitShare, undefined);
 	});
+
+	// Guards against prompts that are prefilled at the same time for a target that takes only one of them.
+	it('send it only the decodes for which they had room when the prefills began', () => {
+		const targets = [createFleetTarget('prefill1', {stage: 'prefill'}), createFleetTarget('limited', {stage: 'decode'}), createFleetTarget('other', {stage: 'decode', slots: 1000})];
+		const state = createFleetState('entry', 1, targets);
+		applyEngineConfiguration(state);
+		reduceServing(state, {
+			type: 'target.noticed', target: targets[1]!, notice: {isLeaving: false, pauseMs: 0, requestsPerSecond: 1}, requestSentAtMs: 0, nowMs: 0,
+		});
+		// Prefills at the targets that decode would take too long.
+		for (const targetId of ['limited', 'other']) {
+			state.placement.targets.get(targetId)!.localWork.prefillMs = 5000;
+		}
+
+		const findSends = (effects: readonly ServingEffect[]) => effects.filter(effect => effect.type === 'attempt.send');
+		const nowMs = 5000;
+		state.placement.targets.get('other')!.localWork.running = 900;
+		const prefills = [1, 2, 3, 4].flatMap(callId => findSends(reduceServing(state, addPrompt(createFleetCall(callId, {kind: 'stream', requestId: `r${callId}`}, nowMs), 3000))));
+		assert.deepEqual(prefills.map(({isPrefillOnly}) => isPrefillOnly), [true, true, true, true]);
+		const decodes = prefills.flatMap(({callId, attemptId}) => findSends(reduceServing(state, {
+			type: 'attempt.prefillEnded', callId, attemptId, handleId: 'h', result: 'answered', nowMs: nowMs + 100,
+		})));
+		assert.deepEqual(decodes.map(({target}) => target.targetId), ['limited', 'other', 'other', 'other']);
+	});
 });
