Rely on one software version only while peers are heard and say so

Cause: what an entry knew of versions counted as fresh for 2 s, while it had missed the one report of a stream or had just come back from a cut.

Now each stream is in two reports; all reports say which versions serve while there are several, so that a report without them is proof that its sender knows of one; and an entry that has heard no peer for 0.6 s takes up no stream that it does not know.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -108,3 +108,4 @@
 export type * from './membership/serviceVersions.js';
 export type * from './membership/streamVersions.js';
 export * from './serving/limitUpdates.js';
+export * from './serving/streamContinuity.js';
--- a/packages/core/src/membership/serviceVersions.ts
+++ b/packages/core/src/membership/serviceVersions.ts
@@ -22,8 +22,8 @@
 	readonly confirm: (nowMs: number) => void;
 	/** Makes all knowledge older by a time that the clock has not counted. */
 	readonly age: (suspendedMs: number) => void;
-	/** Returns whether targets of several versions served a service lately. */
-	readonly isMixed: (serviceId: string, nowMs: number) => boolean;
+	/** Returns whether targets of several versions served a service lately; without `serviceId`, whether that holds for any service. */
+	readonly isMixed: (nowMs: number, serviceId?: string) => boolean;
 	/**
 	 * Returns the version of a service, if it is certain that it has had no other for `horizonMs`. Before an entry has that
 	 * much history, it is certain only if there is no peer that could know of another version.
@@ -82,7 +82,7 @@
 		age(suspendedMs) {
 			confirmedAtMs -= suspendedMs;
 		},
-		isMixed: (serviceId, nowMs) => listSince(serviceId, nowMs - RETENTION_MS).length > 1,
+		isMixed: (nowMs, serviceId) => (serviceId === undefined ? [...seenAtMs.keys()] : [serviceId]).some(id => listSince(id, nowMs - RETENTION_MS).length > 1),
 		findSole(serviceId, {horizonMs, hasPeers, nowMs}) {
 			const [version, ...others] = listSince(serviceId, nowMs - horizonMs);
 			const isCertain = (!hasPeers || knownSinceMs <= nowMs - horizonMs) && nowMs - confirmedAtMs <= MAX_STALE_MS;
--- a/packages/core/src/membership/streamVersions.ts
+++ b/packages/core/src/membership/streamVersions.ts
@@ -11,12 +11,12 @@
 
 /** Software versions of streams, as known to one entry. */
 export type StreamVersions = {
-	/** Records the version at which a stream goes on. With `isShared`, peers are told once. */
+	/** Records the version at which a stream goes on. With `isShared`, peers are told. */
 	readonly record: (requestId: string, softwareVersion: string, options: {readonly isShared: boolean; readonly nowMs: number}) => void;
 	/** Returns the version at which a stream began, if it is known. */
 	readonly resolve: (requestId: string, nowMs: number) => string | undefined;
 	readonly merge: (reported: ReportedStreams, nowMs: number) => void;
-	/** Returns the streams that peers have not been told of yet. */
+	/** Returns the streams for the next report. Each is in two reports, so that one that is lost makes no difference. */
 	readonly takeUpdates: () => ReportedStreams;
 };
 
@@ -24,7 +24,7 @@
 const RETENTION_MS = 60_000;
 /** Maximum number of streams that are remembered. The one recorded first is dropped first. */
 const MAX_STREAMS = 32_768;
-/** Maximum number of streams in one report, so that it fits into a datagram with reports of other entries. The rest follows with the next one. */
+/** Maximum number of new streams in one report, so that it fits into a datagram with reports of other entries. The rest follows with the next one. */
 const MAX_REPORTED_STREAMS = 256;
 const KEY_RADIX = 36;
 
@@ -32,6 +32,7 @@
 export function createStreamVersions(): StreamVersions {
 	const streams = new Map<string, {readonly softwareVersion: string; readonly atMs: number; readonly isShared: boolean}>();
 	let unreported: Array<{readonly key: string; readonly softwareVersion: string}> = [];
+	let repeated: typeof unreported = [];
 
 	return {
 		record(requestId, softwareVersion, {isShared, nowMs}) {
@@ -55,11 +56,13 @@
 		},
 		takeUpdates() {
 			const keysByVersion = new Map<string, string[]>();
-			for (const {key, softwareVersion} of unreported.slice(0, MAX_REPORTED_STREAMS)) {
+			const reported = unreported.slice(0, MAX_REPORTED_STREAMS);
+			for (const {key, softwareVersion} of [...repeated, ...reported]) {
 				keysByVersion.set(softwareVersion, [...keysByVersion.get(softwareVersion) ?? [], key]);
 			}
 
 			unreported = unreported.slice(MAX_REPORTED_STREAMS);
+			repeated = reported;
 			return [...keysByVersion];
 		},
 	};
--- a/packages/core/src/serving/__tests__/createTestFleet.ts
+++ b/packages/core/src/serving/__tests__/createTestFleet.ts
@@ -5,6 +5,7 @@
 import {
 	ROUTE_KINDS, type RouteRecord, type ServingConfiguration, type TargetRecord,
 } from '../servingRecords.js';
+import {listReportedVersions} from '../streamContinuity.js';
 import {createServingState, type ServingState} from '../servingState.js';
 
 /** An entry of a simulated fleet. A restart replaces its state. */
@@ -130,7 +131,7 @@
 	const createReport = ({state}: TestFleetEntry, isComplete: boolean): PeerReport => ({
 		entryId: state.instanceId, processId: state.processId, availabilityZone: 'zoneA', sequence: nowMs + 1, wallMs: nowMs, work: [], prefixUses: [], leaving: [],
 		limits: takeReportedLimits(state, nowMs, isComplete), crashes: [], poisonParts: {crashes: [], cleared: [], quarantines: []},
-		streams: state.streamVersions.takeUpdates(), serviceVersions: isComplete ? [state.serviceVersions.toReport(nowMs)] : [],
+		streams: state.streamVersions.takeUpdates(), serviceVersions: listReportedVersions(state, nowMs, isComplete),
 		storeEra: 0, sealed: [], usage: [],
 	});
 
--- a/packages/core/src/serving/__tests__/streamContinuity.test.ts
+++ b/packages/core/src/serving/__tests__/streamContinuity.test.ts
@@ -241,7 +241,7 @@
 		assert.ok(takenUp.length > 50 && whole.length > takenUp.length / 2, `${whole.length} of ${takenUp.length} streams went on`);
 	});
 
-	it('are told to peers once when a second version appears while they run', () => {
+	it('are told to peers twice when a second version appears while they run', () => {
 		const state = createFleetState('entry', 1, [createFleetTarget('target1', {softwareVersion: 'v1'})]);
 		reduceServing(state, createFleetCall(1, {kind: 'stream', requestId: 'stream'}, 0));
 		reduceServing(state, {
@@ -251,8 +251,11 @@
 		reduceServing(state, {
 			type: 'targets.changed', targets: [createFleetTarget('target2', {softwareVersion: 'v2'})], removed: [], isComplete: false, nowMs: 20,
 		});
-		assert.deepEqual(state.streamVersions.takeUpdates().map(([softwareVersion, keys]) => [softwareVersion, keys.length]), [['v1', 1]]);
-		reduceServing(state, {type: 'tick', wallMs: 30, nowMs: 30});
+		for (let count = 0; count < 2; count += 1) {
+			assert.deepEqual(state.streamVersions.takeUpdates().map(([softwareVersion, keys]) => [softwareVersion, keys.length]), [['v1', 1]]);
+			reduceServing(state, {type: 'tick', wallMs: 30, nowMs: 30});
+		}
+
 		assert.deepEqual(state.streamVersions.takeUpdates(), []);
 	});
 
@@ -274,6 +277,7 @@
 	it('are not taken up if another version may have been added while the entry heard of no targets', () => {
 		const resume = (heardAtMs: number, nowMs: number, suspendedMs = 0) => {
 			const state = createFleetState('entry', 1, [createFleetTarget('target1', {softwareVersion: 'v1'})]);
+			reduceServing(state, {type: 'peers.listed', peerCount: 0, nowMs: heardAtMs});
 			reduceServing(state, {type: 'targets.confirmed', nowMs: heardAtMs});
 			if (suspendedMs > 0) {
 				reduceServing(state, {type: 'process.suspended', suspendedMs, nowMs: heardAtMs});
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -126,7 +126,7 @@
 	readonly poisonParts: PoisonPartUpdates;
 	/** Streams that began since the previous report, while targets of several software versions serve. */
 	readonly streams: ReportedStreams;
-	/** Software versions of the targets of each service. Only complete reports have an element. */
+	/** Software versions of the targets of each service. Complete reports have an element, and all reports while a service has several versions. */
 	readonly serviceVersions: readonly ReportedVersions[];
 	/** Latest era of the metadata store that the entry has seen. */
 	readonly storeEra: number;
--- a/packages/core/src/serving/streamContinuity.ts
+++ b/packages/core/src/serving/streamContinuity.ts
@@ -3,12 +3,14 @@
  * from the first event, for later attempts of the same call and for callers that take the stream up with another request.
  */
 import {listTargets} from '../membership/targetCatalog.js';
-import {type CallRequest} from './servingMessages.js';
+import {type CallRequest, type PeerReport} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
 /** Added to the longest time that callers wait on a route: the delay until a change of the targets is known everywhere. */
 const CHANGE_DELAY_MS = 2000;
+/** Time without a report of any peer after which an entry may have missed that a second version serves. Peers report several times as often. */
+const MAX_SILENCE_MS = 600;
 
 /** Returns whether a request takes up a stream. */
 export function isResumption({resumes}: CallRequest, {kind}: RouteRecord): boolean {
@@ -36,10 +38,22 @@
 	}
 
 	const knownVersion = request.resumes?.requestId === undefined ? undefined : state.streamVersions.resolve(request.resumes.requestId, nowMs);
+	return knownVersion ?? findSoleVersion(state, {route, serviceId}, nowMs);
+}
+
+/** Returns the version of a service if it has certainly had a single one for longer than callers wait on a route. */
+function findSoleVersion(state: ServingState, {route, serviceId}: {readonly route: RouteRecord; readonly serviceId: string}, nowMs: number): string | undefined {
+	const hasPeers = state.registeredPeerCount !== 0;
+	const isHearingPeers = [...state.placement.peers.values()].some(({receivedAtMs}) => nowMs - receivedAtMs <= MAX_SILENCE_MS);
 	const longestWaitMs = Math.max(route.timeoutMs, state.maxDeadlineMsByRoute.get(route.name) ?? 0);
-	return knownVersion ?? state.serviceVersions.findSole(serviceId, {
-		horizonMs: longestWaitMs + CHANGE_DELAY_MS, hasPeers: state.registeredPeerCount !== 0, nowMs,
-	});
+	return hasPeers && !isHearingPeers
+		? undefined
+		: state.serviceVersions.findSole(serviceId, {horizonMs: longestWaitMs + CHANGE_DELAY_MS, hasPeers, nowMs});
+}
+
+/** Returns what the next report tells peers of software versions. A report without any means that its sender knows of no service with several. */
+export function listReportedVersions(state: ServingState, nowMs: number, isComplete: boolean): PeerReport['serviceVersions'] {
+	return isComplete || state.serviceVersions.isMixed(nowMs) ? [state.serviceVersions.toReport(nowMs)] : [];
 }
 
 /**
@@ -53,14 +67,14 @@
 	}
 
 	call.streamVersion ??= call.attempt.softwareVersion;
-	state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: state.serviceVersions.isMixed(call.serviceId, nowMs), nowMs});
+	state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: state.serviceVersions.isMixed(nowMs, call.serviceId), nowMs});
 }
 
 /** Records the software versions of the registered targets. Peers are told of streams in progress of services that have several versions now. */
 export function observeVersions(state: ServingState, nowMs: number): void {
 	state.serviceVersions.observe(listTargets(state.catalog), nowMs);
 	for (const call of state.calls.values()) {
-		if (call.isResponseStarted && call.streamVersion !== undefined && state.serviceVersions.isMixed(call.serviceId, nowMs)) {
+		if (call.isResponseStarted && call.streamVersion !== undefined && state.serviceVersions.isMixed(nowMs, call.serviceId)) {
 			state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: true, nowMs});
 		}
 	}
--- a/packages/daemon/src/direct/createPeerReporting.ts
+++ b/packages/daemon/src/direct/createPeerReporting.ts
@@ -1,5 +1,5 @@
 import {
-	isLivePeer, type PeerReport, planReportRoutes, type ServingState, takeReportedLimits,
+	isLivePeer, listReportedVersions, type PeerReport, planReportRoutes, type ServingState, takeReportedLimits,
 } from '@damaskspool/core';
 import {type PeerAddress} from './createPeerDirectory.js';
 import {type PeerReceivers} from './createPeerLink.js';
@@ -54,7 +54,7 @@
 				crashes: state.poisonRequests.takeUpdates(),
 				poisonParts: state.poisonParts.takeUpdates(performance.now(), hasFullUsage),
 				streams: state.streamVersions.takeUpdates(),
-				serviceVersions: hasFullUsage ? [state.serviceVersions.toReport(performance.now())] : [],
+				serviceVersions: listReportedVersions(state, performance.now(), hasFullUsage),
 				storeEra: state.storeEra,
 				sealed: hasFullUsage ? state.usage.takeSealedForPeers() : [],
 				usage: state.usage.takeLocalCounts(state.clock.toMedianTime(readWallClock()), hasFullUsage),
