--- /dev/null
+++ b/packages/core/src/serving/planAttempt.ts
@@ -0,0 +1,166 @@
+/**
+ * Places the attempts of calls: on which targets the next one goes, or why and until when a call is refused. It answers
+ * the load of both kinds of services; the choice among targets is in the folder `placement`.
+ */
+import {ERROR_CODES, type ErrorCode} from '@damaskspool/shared';
+import {computePrefillPriority} from '../placement/computePrefillPriority.js';
+import {placeCall} from '../placement/placeCall.js';
+import {type GenerationPlan, placeGeneration} from '../placement/placeGeneration.js';
+import {type PlacementSettings} from '../placement/placementSettings.js';
+import {
+	computePauseMs, hasLimitRoom, isAvailable, type PlacedTarget,
+} from '../placement/placementState.js';
+import {HASH_RANGE, hashIdentifier} from '../routing/rendezvous.js';
+import {STAGES, type EngineRecord} from './servingRecords.js';
+import {type CallAttempt, type ServingCall, type ServingState} from './servingState.js';
+
+/** Reference to the KV cache that a target holds after a disaggregated prefill. */
+export type KvCacheHandle = {readonly address: string; readonly handleId: string};
+
+/** An attempt that is placed on its targets, not sent yet. */
+export type AttemptPlan = {
+	readonly target: PlacedTarget;
+	readonly isPrefillOnly: boolean;
+	readonly queuedWork: CallAttempt['queuedWork'];
+	readonly handle: KvCacheHandle | undefined;
+	readonly cacheSource: PlacedTarget | undefined;
+	readonly expectedFirstByteMs: number;
+	/** Priority on the target's scale; if omitted, the priority of the route applies. */
+	readonly priority?: number;
+	readonly detail: Readonly<Record<string, unknown>>;
+};
+
+/** Retry-after of a refusal for which no estimate is available. */
+export const DEFAULT_RETRY_AFTER_MS = 500;
+/** Queued work of an attempt without prefill. */
+export const NO_QUEUED_WORK = {prefillMs: 0, urgentPrefillMs: 0, copyMs: 0} as const;
+
+/** Why a call cannot be placed, and when its caller may return. */
+export type Refusal = {readonly refusal: ErrorCode; readonly retryAfterMs: number | undefined; readonly detail?: Readonly<Record<string, unknown>>};
+
+/** Places the next attempt of a call that has no KV cache yet. */
+export function planAttempt(state: ServingState, call: ServingCall, nowMs: number): AttemptPlan | Refusal | undefined {
+	const engine = state.configuration?.services.get(call.serviceId)?.engine;
+	return engine !== undefined && call.request.prompt !== undefined
+		? planGeneration(state, call, engine, nowMs)
+		: planCall(state, call, nowMs);
+}
+
+function planCall(state: ServingState, call: ServingCall, nowMs: number): AttemptPlan | Refusal {
+	const plan = placeCall({
+		state: state.placement, serviceId: call.serviceId, excludedTargetIds: call.excludedTargetIds, softwareVersion: call.streamVersion, nowMs,
+	});
+	return plan === undefined
+		? {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? DEFAULT_RETRY_AFTER_MS}
+		: {
+			target: plan.target, isPrefillOnly: false, queuedWork: NO_QUEUED_WORK, handle: undefined, cacheSource: undefined, expectedFirstByteMs: 0, detail: {running: plan.running},
+		};
+}
+
+function planGeneration(state: ServingState, call: ServingCall, engine: EngineRecord, nowMs: number): AttemptPlan | Refusal | undefined {
+	const {placement, placementSettings} = state;
+	const goalRemainingMs = call.arrivedAtMs + call.route.goalMs - call.spentBeforeArrivalMs - nowMs;
+	const plan = placeGeneration({
+		state: placement,
+		demand: {
+			serviceId: call.serviceId,
+			prompt: call.request.prompt!,
+			bodyBytes: call.request.bodyBytes,
+			goalRemainingMs,
+			excludedTargetIds: call.excludedTargetIds,
+			softwareVersion: call.streamVersion,
+		},
+		engine,
+		settings: placementSettings,
+		nowMs,
+	});
+	if (plan === undefined) {
+		return {refusal: ERROR_CODES.noTarget, retryAfterMs: computeReturnMs(state, call, nowMs) ?? computeRetryAfterMs(state, call, nowMs)};
+	}
+
+	const refuseAboveMs = call.route.goalMs * pickRefusalGoals(call, placementSettings);
+	if (plan.expectedFirstEventMs - plan.prefillMs > refuseAboveMs) {
+		return {refusal: ERROR_CODES.queueFull, retryAfterMs: computeRetryAfterMs(state, call, nowMs), detail: {...describePlan(plan), refuseAboveMs}};
+	}
+
+	call.decodeTarget = plan.prefillTarget === undefined ? undefined : plan.decodeTarget;
+	if (call.decodeTarget !== undefined) {
+		call.decodeTarget.localWork.running += state.placementSettings.reservedSlotShare;
+		call.hasReservedSlot = true;
+	}
+
+	return {
+		target: plan.prefillTarget ?? plan.decodeTarget,
+		isPrefillOnly: plan.prefillTarget !== undefined,
+		queuedWork: {prefillMs: plan.prefillMs, urgentPrefillMs: plan.urgentPrefillMs, copyMs: plan.copyMs},
+		handle: undefined,
+		cacheSource: plan.cacheSource,
+		expectedFirstByteMs: plan.expectedFirstEventMs,
+		...(plan.prefillTarget !== undefined && {priority: computePrefillPriority({goalRemainingMs, isTimely: plan.isTimely})}),
+		detail: describePlan(plan),
+	};
+}
+
+/** Picks the multiple of the latency objective above which a wait is too long for a call. */
+function pickRefusalGoals({streamVersion, spentBeforeArrivalMs}: ServingCall, {refuseAtGoals, refuseReturnedAtGoals, refuseResumedAtGoals}: PlacementSettings): number {
+	if (streamVersion !== undefined) {
+		return refuseResumedAtGoals;
+	}
+
+	return spentBeforeArrivalMs > 0 ? refuseReturnedAtGoals : refuseAtGoals;
+}
+
+/**
+ * Computes the retry-after of a refused request. It is long enough for the current change of the traffic mix to pass,
+ * and the jitter is derived from the request identifier.
+ */
+function computeRetryAfterMs({placementSettings}: ServingState, {request, deadlineAtMs}: ServingCall, nowMs: number): number {
+	const {returnShare, returnSpreadShare} = placementSettings;
+	const jitter = hashIdentifier(request.requestId) / HASH_RANGE;
+	return Math.round((deadlineAtMs - nowMs) * (returnShare + (returnSpreadShare * jitter)));
+}
+
+/**
+ * Computes the retry-after of a request for which no target has room because of pauses or limits. A limit has room for one
+ * request at a time, so the callers that it turns away are spread.
+ */
+function computeReturnMs(state: ServingState, call: ServingCall, nowMs: number): number | undefined {
+	const pauseMs = computePauseMs(state.placement, call.serviceId, nowMs);
+	const isLimited = [...state.placement.targets.values()].some(({record, limitShare}) => record.serviceId === call.serviceId && limitShare !== undefined);
+	return isLimited ? Math.max(pauseMs ?? 0, computeRetryAfterMs(state, call, nowMs)) : pauseMs;
+}
+
+/** Describes a plan for the log. The keys belong to the log format. */
+function describePlan({expectedFirstEventMs, prefillMs, copyMs, backlogMs, cachedTokens, cost, cacheSource, prefillTarget, decodeTarget}: GenerationPlan) {
+	return {
+		startMs: Math.round(expectedFirstEventMs),
+		backlogMs: Math.round(backlogMs),
+		readMs: Math.round(prefillMs),
+		copyMs: Math.round(copyMs),
+		cachedTokens,
+		loss: Number(cost.toFixed(3)),
+		source: cacheSource?.record.targetId,
+		generator: prefillTarget === undefined ? undefined : decodeTarget.record.targetId,
+	};
+}
+
+/** Plans the decode after a disaggregated prefill, on the target chosen before the prefill or, if that is no longer available, on another one. */
+export function planHandover(state: ServingState, call: ServingCall, handle: KvCacheHandle, nowMs: number): AttemptPlan | undefined {
+	const {decodeTarget} = call;
+	const isUsable = decodeTarget !== undefined && state.placement.targets.get(decodeTarget.record.targetId) === decodeTarget
+		&& isAvailable(decodeTarget, nowMs) && (call.hasReservedShare || hasLimitRoom(decodeTarget, nowMs)) && decodeTarget.record.stage !== STAGES.prefill;
+	const target = isUsable ? decodeTarget : findDecodeTarget(state, call, nowMs);
+	return target === undefined
+		? undefined
+		: {
+			target, isPrefillOnly: false, queuedWork: NO_QUEUED_WORK, handle, cacheSource: undefined, expectedFirstByteMs: 0, detail: {tookOver: handle.handleId},
+		};
+}
+
+function findDecodeTarget(state: ServingState, call: ServingCall, nowMs: number): PlacedTarget | undefined {
+	const prefillTargets = [...state.placement.targets.values()].filter(({record}) => record.stage === STAGES.prefill);
+	const excludedTargetIds = new Set([...call.excludedTargetIds, ...prefillTargets.map(({record}) => record.targetId)]);
+	return placeCall({
+		state: state.placement, serviceId: call.serviceId, excludedTargetIds, softwareVersion: call.streamVersion, nowMs,
+	})?.target;
+}
