Log a software version that an entry did not know

Whether a service had several versions, and who said so, was in no line, though streams are taken up or refused by it.

--- a/packages/core/src/membership/serviceVersions.ts
+++ b/packages/core/src/membership/serviceVersions.ts
@@ -14,10 +14,13 @@
 	versions: ReadonlyArray<readonly [serviceId: string, softwareVersion: string, ageMs: number]>,
 ];
 
+/** A version that an entry did not know, and all versions of its service that it knows now. */
+export type AddedVersion = {readonly serviceId: string; readonly softwareVersion: string; readonly known: readonly string[]};
+
 /** Software versions of the targets of each service, as known to one entry. */
 export type ServiceVersions = {
-	/** Records the registered targets. */
-	readonly observe: (targets: readonly TargetRecord[], nowMs: number) => void;
+	/** Records the registered targets. Returns the versions that were not known. */
+	readonly observe: (targets: readonly TargetRecord[], nowMs: number) => readonly AddedVersion[];
 	/** Records that the store has confirmed the registered targets. */
 	readonly confirm: (nowMs: number) => void;
 	/** Makes all knowledge older by a time that the clock has not counted. */
@@ -29,7 +32,8 @@
 	 * much history, it is certain only if there is no peer that could know of another version.
 	 */
 	readonly findSole: (serviceId: string, options: {readonly horizonMs: number; readonly hasPeers: boolean; readonly nowMs: number}) => string | undefined;
-	readonly merge: (reported: ReportedVersions, nowMs: number) => void;
+	/** Merges the report of a peer. Returns the versions that were not known. */
+	readonly merge: (reported: ReportedVersions, nowMs: number) => readonly AddedVersion[];
 	readonly toReport: (nowMs: number) => ReportedVersions;
 };
 
@@ -44,10 +48,12 @@
 	let knownSinceMs = Number.POSITIVE_INFINITY;
 	let confirmedAtMs = Number.NEGATIVE_INFINITY;
 
-	const record = (serviceId: string, softwareVersion: string, atMs: number) => {
+	const record = (serviceId: string, softwareVersion: string, atMs: number): AddedVersion[] => {
 		const versions = seenAtMs.get(serviceId) ?? new Map<string, number>();
 		seenAtMs.set(serviceId, versions);
-		versions.set(softwareVersion, Math.max(versions.get(softwareVersion) ?? atMs, atMs));
+		const knownAtMs = versions.get(softwareVersion);
+		versions.set(softwareVersion, Math.max(knownAtMs ?? atMs, atMs));
+		return knownAtMs === undefined ? [{serviceId, softwareVersion, known: [...versions.keys()]}] : [];
 	};
 
 	const listSince = (serviceId: string, sinceMs: number): string[] =>
@@ -69,11 +75,9 @@
 
 	return {
 		observe(targets, nowMs) {
-			for (const {serviceId, softwareVersion} of targets) {
-				record(serviceId, softwareVersion, nowMs);
-			}
-
+			const added = targets.flatMap(({serviceId, softwareVersion}) => record(serviceId, softwareVersion, nowMs));
 			forget(nowMs);
+			return added;
 		},
 		confirm(nowMs) {
 			knownSinceMs = Math.min(knownSinceMs, nowMs);
@@ -90,15 +94,12 @@
 		},
 		merge([historyMs, staleMs, versions], nowMs) {
 			if (historyMs < 0) {
-				return;
-			}
-
-			for (const [serviceId, softwareVersion, ageMs] of versions) {
-				record(serviceId, softwareVersion, nowMs - Math.max(0, ageMs));
+				return [];
 			}
 
 			knownSinceMs = Math.min(knownSinceMs, nowMs - historyMs);
 			confirmedAtMs = Math.max(confirmedAtMs, nowMs - Math.max(0, staleMs));
+			return versions.filter(version => version[2] <= RETENTION_MS).flatMap(([serviceId, softwareVersion, ageMs]) => record(serviceId, softwareVersion, nowMs - Math.max(0, ageMs)));
 		},
 		toReport: nowMs => [
 			Number.isFinite(knownSinceMs) ? Math.round(nowMs - knownSinceMs) : UNKNOWN,
--- a/packages/core/src/serving/__tests__/streamContinuity.test.ts
+++ b/packages/core/src/serving/__tests__/streamContinuity.test.ts
@@ -248,9 +248,12 @@
 			type: 'attempt.began', callId: 1, attemptId: 1, wallMs: 10, nowMs: 10,
 		});
 		assert.deepEqual(state.streamVersions.takeUpdates(), []);
-		reduceServing(state, {
+		const effects = reduceServing(state, {
 			type: 'targets.changed', targets: [createFleetTarget('target2', {softwareVersion: 'v2'})], removed: [], isComplete: false, nowMs: 20,
 		});
+		assert.deepEqual(effects.flatMap(effect => effect.type === 'decision.record' && effect.name === 'service.versionAdded' ? [effect.detail] : []), [
+			{softwareVersion: 'v2', known: ['v1', 'v2'], toldBy: 'store'},
+		]);
 		for (let count = 0; count < 2; count += 1) {
 			assert.deepEqual(state.streamVersions.takeUpdates().map(([softwareVersion, keys]) => [softwareVersion, keys.length]), [['v1', 1]]);
 			reduceServing(state, {type: 'tick', wallMs: 30, nowMs: 30});
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -8,7 +8,7 @@
 import {reportPartDecisions} from './crashHandlers.js';
 import {type PeerReport, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {applyAnsweredLimit, findIncarnation, mergeLimits} from './limitUpdates.js';
-import {observeVersions} from './streamContinuity.js';
+import {mergeVersions, observeVersions} from './streamContinuity.js';
 import {type ServingState} from './servingState.js';
 
 /** Share of an engine's KV cache assumed to hold shared prompt parts; running requests take the rest. */
@@ -24,8 +24,7 @@
 		state.hasTargets = true;
 		applyRegistrations(state.catalog, change, nowMs);
 		state.serviceVersions.confirm(nowMs);
-		observeVersions(state, nowMs);
-		return applyCatalog(state);
+		return [...observeVersions(state, nowMs), ...applyCatalog(state)];
 	},
 	'targets.confirmed'(state, {nowMs}) {
 		state.serviceVersions.confirm(nowMs);
@@ -109,15 +108,11 @@
 
 		state.poisonRequests.merge(report.crashes, nowMs);
 		state.usage.merge(report);
-		state.streamVersions.merge(report.streams, nowMs);
-		for (const reported of report.serviceVersions) {
-			state.serviceVersions.merge(reported, nowMs);
-		}
-
 		const effects = [
 			...reportPartDecisions(state.poisonParts.merge(report.poisonParts, nowMs), report.entryId),
 			...mergeLeaving(state, report),
 			...mergeLimits(state, report, nowMs),
+			...mergeVersions(state, report, nowMs),
 			...mergeEra(state, report),
 		];
 		const lastReport = state.placement.peers.get(report.entryId);
@@ -148,7 +143,7 @@
 	tick(state, {nowMs}) {
 		const effects: ServingEffect[] = expireRegistrations(state.catalog, nowMs) ? [...applyCatalog(state)] : [];
 		applyLimitShares(state.placement, nowMs);
-		observeVersions(state, nowMs);
+		effects.push(...observeVersions(state, nowMs));
 		// Only the first few live entries read the lease often, to limit the load on the store.
 		rankDuties(state.lease, [...state.membership.peers.values()].filter(({instanceId}) => isLivePeer(state.placement, instanceId, nowMs)), nowMs);
 		for (const [entryId, peer] of state.placement.peers) {
--- a/packages/core/src/serving/streamContinuity.ts
+++ b/packages/core/src/serving/streamContinuity.ts
@@ -3,7 +3,8 @@
  * from the first event, for later attempts of the same call and for callers that take the stream up with another request.
  */
 import {listTargets} from '../membership/targetCatalog.js';
-import {type CallRequest, type PeerReport} from './servingMessages.js';
+import {type AddedVersion} from '../membership/serviceVersions.js';
+import {type CallRequest, type PeerReport, type ServingEffect} from './servingMessages.js';
 import {ROUTE_KINDS, type RouteRecord} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
@@ -70,12 +71,31 @@
 	state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: state.serviceVersions.isMixed(nowMs, call.serviceId), nowMs});
 }
 
-/** Records the software versions of the registered targets. Peers are told of streams in progress of services that have several versions now. */
-export function observeVersions(state: ServingState, nowMs: number): void {
-	state.serviceVersions.observe(listTargets(state.catalog), nowMs);
+/**
+ * Records the software versions of the registered targets. Peers are told of streams in progress of services that have
+ * several versions now.
+ *
+ * @returns the log lines of versions that were not known
+ */
+export function observeVersions(state: ServingState, nowMs: number): readonly ServingEffect[] {
+	const added = state.serviceVersions.observe(listTargets(state.catalog), nowMs);
 	for (const call of state.calls.values()) {
 		if (call.isResponseStarted && call.streamVersion !== undefined && state.serviceVersions.isMixed(nowMs, call.serviceId)) {
 			state.streamVersions.record(toStreamRequestId(call.request), call.streamVersion, {isShared: true, nowMs});
 		}
 	}
+
+	return reportAddedVersions(added, 'store');
+}
+
+/** Merges what a peer knows of software versions and streams. Returns the log lines of versions that were not known. */
+export function mergeVersions(state: ServingState, {entryId, streams, serviceVersions}: PeerReport, nowMs: number): readonly ServingEffect[] {
+	state.streamVersions.merge(streams, nowMs);
+	return reportAddedVersions(serviceVersions.flatMap(reported => state.serviceVersions.merge(reported, nowMs)), entryId);
+}
+
+function reportAddedVersions(added: readonly AddedVersion[], toldBy: string): readonly ServingEffect[] {
+	return added.map(({serviceId, softwareVersion, known}) => ({
+		type: 'decision.record', name: 'service.versionAdded', subject: serviceId, detail: {softwareVersion, known, toldBy},
+	}));
 }
