--- a/packages/core/src/membership/serviceVersions.ts
+++ b/packages/core/src/membership/serviceVersions.ts
@@ -24,7 +24,7 @@
 	/** Records that the store has confirmed the registered targets. */
 	readonly confirm: (nowMs: number) => void;
 	/** Makes all knowledge older by a time that the clock has not counted. */
-	readonly age: (suspendedMs: number) => void;
+	readonly recordSuspension: (suspendedMs: number) => void;
 	/** Returns whether targets of several versions served a service lately; without `serviceId`, whether that holds for any service. */
 	readonly isMixed: (nowMs: number, serviceId?: string) => boolean;
 	/**
@@ -59,7 +59,7 @@
 	const listSince = (serviceId: string, sinceMs: number): string[] =>
 		[...seenAtMs.get(serviceId) ?? []].filter(([, atMs]) => atMs >= sinceMs).map(([softwareVersion]) => softwareVersion);
 
-	const forget = (nowMs: number) => {
+	const expire = (nowMs: number) => {
 		for (const [serviceId, versions] of seenAtMs) {
 			for (const [softwareVersion, atMs] of versions) {
 				if (nowMs - atMs > RETENTION_MS) {
@@ -76,14 +76,14 @@
 	return {
 		observe(targets, nowMs) {
 			const added = targets.flatMap(({serviceId, softwareVersion}) => record(serviceId, softwareVersion, nowMs));
-			forget(nowMs);
+			expire(nowMs);
 			return added;
 		},
 		confirm(nowMs) {
 			knownSinceMs = Math.min(knownSinceMs, nowMs);
 			confirmedAtMs = nowMs;
 		},
-		age(suspendedMs) {
+		recordSuspension(suspendedMs) {
 			confirmedAtMs -= suspendedMs;
 		},
 		isMixed: (nowMs, serviceId) => (serviceId === undefined ? [...seenAtMs.keys()] : [serviceId]).some(id => listSince(id, nowMs - RETENTION_MS).length > 1),
--- a/packages/core/src/serving/__tests__/createTestFleet.ts
+++ b/packages/core/src/serving/__tests__/createTestFleet.ts
@@ -140,13 +140,13 @@
 		for (const peer of entries.filter(other => other !== entry && other.hasPeers && entry.hasPeers)) {
 			if (random() >= reportLoss) {
 				schedule(random() * reportDelayMs, () => {
-					deliver(peer, message);
+					passReport(peer, message);
 				});
 			}
 		}
 	};
 
-	const deliver = (peer: TestFleetEntry, message: PeerReport) => {
+	const passReport = (peer: TestFleetEntry, message: PeerReport) => {
 		dispatch(peer, {
 			type: 'peer.reported', report: message, wallMs: nowMs, nowMs,
 		});
--- a/packages/core/src/serving/__tests__/streamContinuity.test.ts
+++ b/packages/core/src/serving/__tests__/streamContinuity.test.ts
@@ -30,8 +30,8 @@
 	readonly seed: number;
 };
 
-/** Plays streams that break off at their targets, at their entries and at their callers, while targets are replaced by others of another software version. */
-function playStreams(options: LoadOptions): Stream[] {
+/** Simulates streams that break off at their targets, at their entries and at their callers, while targets are replaced by others of another software version. */
+function simulateStreams(options: LoadOptions): Stream[] {
 	const {watchDelayMs, replacementGapMs, restartGapMs, storeCutGapMs, fullCutGapMs} = options;
 	let targets: TargetRecord[] = [1, 2, 3, 4].map(index => createFleetTarget(`target${index}`, {softwareVersion: 'v1'}));
 	const streams: Stream[] = [];
@@ -132,10 +132,10 @@
 	}, () => targets);
 
 	/** Dispatches a change of the registrations to an entry, once it is not cut off. */
-	const tellEntry = (entry: TestFleetEntry, change: {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]}) => {
+	const signalEntry = (entry: TestFleetEntry, change: {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]}) => {
 		if (!entry.hasStore) {
 			fleet.schedule(100, () => {
-				tellEntry(entry, change);
+				signalEntry(entry, change);
 			});
 			return;
 		}
@@ -153,12 +153,12 @@
 		targets = targets.with(index, added);
 		for (const entry of fleet.entries) {
 			fleet.schedule(fleet.random() * watchDelayMs, () => {
-				tellEntry(entry, {targets: [added], removed});
+				signalEntry(entry, {targets: [added], removed});
 			});
 		}
 	};
 
-	const breakStreams = ({state}: TestFleetEntry) => {
+	const dropStreams = ({state}: TestFleetEntry) => {
 		for (const [key, stream] of streamsByCall) {
 			if (key.startsWith(`${state.processId}/`)) {
 				streamsByCall.delete(key);
@@ -167,15 +167,15 @@
 		}
 	};
 
-	const restartEntry = () => {
+	const replaceProcess = () => {
 		const entry = pickEntry();
 		if (entry !== undefined) {
-			breakStreams(entry);
+			dropStreams(entry);
 			fleet.restart(entry);
 		}
 	};
 
-	const cutEntry = (hasPeers: boolean) => () => {
+	const silenceEntry = (hasPeers: boolean) => () => {
 		const entry = pickEntry();
 		if (entry === undefined) {
 			return;
@@ -184,7 +184,7 @@
 		entry.hasStore = false;
 		entry.hasPeers = hasPeers;
 		if (!hasPeers) {
-			breakStreams(entry);
+			dropStreams(entry);
 		}
 
 		fleet.schedule(300 + (fleet.random() * 5000), () => {
@@ -202,7 +202,7 @@
 			send(stream);
 		}
 
-		for (const [gapMs, run] of [[replacementGapMs, replaceTarget], [restartGapMs, restartEntry], [storeCutGapMs, cutEntry(true)], [fullCutGapMs, cutEntry(false)]] as const) {
+		for (const [gapMs, run] of [[replacementGapMs, replaceTarget], [restartGapMs, replaceProcess], [storeCutGapMs, silenceEntry(true)], [fullCutGapMs, silenceEntry(false)]] as const) {
 			if (isDue(gapMs)) {
 				run();
 			}
@@ -228,12 +228,12 @@
 			seed: fc.nat(100_000),
 		});
 		fc.assert(fc.property(options, load => {
-			assert.deepEqual(playStreams(load).filter(stream => hasTwoVersions(stream)), []);
+			assert.deepEqual(simulateStreams(load).filter(stream => hasTwoVersions(stream)), []);
 		}), {numRuns: 60, seed: 30, endOnFailure: true});
 	});
 
 	it('go on when their entries are killed, at most entries that live', () => {
-		const streams = playStreams({
+		const streams = simulateStreams({
 			entryCount: 4, reportLoss: 0.01, reportDelayMs: 40, watchDelayMs: 50, replacementGapMs: 3000, restartGapMs: 1000, storeCutGapMs: 1e9, fullCutGapMs: 1e9, seed: 5,
 		});
 		const takenUp = streams.filter(({wasTakenUp}) => wasTakenUp);
--- a/packages/core/src/serving/__tests__/targetLimit.test.ts
+++ b/packages/core/src/serving/__tests__/targetLimit.test.ts
@@ -30,8 +30,8 @@
 	readonly limitEndsAtMs?: number;
 };
 
-/** Plays a load on entries before three targets, one of which names a limit in each answer. Returns when requests arrived there. */
-function playLoad(options: LoadOptions) {
+/** Simulates a load on entries before three targets, one of which names a limit in each answer. Returns when requests arrived there. */
+function simulateLoad(options: LoadOptions) {
 	const {requestsPerSecond, callsPerSecond, skew, lengthMs = 12_000, limitEndsAtMs = Number.POSITIVE_INFINITY} = options;
 	const arrivals: number[] = [];
 	let callId = 0;
@@ -99,7 +99,7 @@
 			seed: fc.nat(100_000),
 		});
 		fc.assert(fc.property(options, load => {
-			const {arrivals} = playLoad({...load, lengthMs: 9000});
+			const {arrivals} = simulateLoad({...load, lengthMs: 9000});
 			const most = countMostArrivals(arrivals);
 			assert.ok(most <= computeAllowed(load.requestsPerSecond), `${most} requests in ${SPAN_MS} ms`);
 		}), {numRuns: 40, seed: 30, endOnFailure: true});
@@ -107,7 +107,7 @@
 
 	it('use most of a limit under a load that needs it', () => {
 		for (const [entryCount, requestsPerSecond] of [[1, 4], [6, 4.3], [6, 20], [24, 8]] as const) {
-			const {arrivals} = playLoad({
+			const {arrivals} = simulateLoad({
 				entryCount, requestsPerSecond, callsPerSecond: 250, reportLoss: 0, reportDelayMs: 50, skew: 0, seed: 7,
 			});
 			const perSecond = arrivals.filter(atMs => atMs >= CONTACT_MS).length / 9;
@@ -117,7 +117,7 @@
 
 	it('notice the end of a limit, even of one near zero', () => {
 		for (const requestsPerSecond of [0, 4.3]) {
-			const {arrivals} = playLoad({
+			const {arrivals} = simulateLoad({
 				entryCount: 6, requestsPerSecond, callsPerSecond: 200, reportLoss: 0.05, reportDelayMs: 50, skew: 0, seed: 8, lengthMs: 20_000, limitEndsAtMs: 9000,
 			});
 			const lastSecond = arrivals.filter(atMs => atMs >= 19_000).length;
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -50,7 +50,7 @@
 		}];
 	},
 	'process.suspended'(state, {suspendedMs}) {
-		state.serviceVersions.age(suspendedMs);
+		state.serviceVersions.recordSuspension(suspendedMs);
 		return [{
 			type: 'decision.record', name: 'process.suspended', subject: state.instanceId, detail: {suspendedMs},
 		}];
