--- a/review/lib/entry.js
+++ b/review/lib/entry.js
@@ -18,7 +18,7 @@
 /** Bounds of the site file, in the platform's format. */
 export const BOUNDS = {
 	ContactMs: 3000, DrainMs: 2000, GraceS: 8, LossSlackMs: 200, ConfigApplyMs: 2000, LeaseMs: 3000, ThawMs: 300,
-	WindowS: 5, RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetMinRetries: 54,
+	WindowS: 5, RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetMinRetries: 54, RequireFence: false,
 };
 
 /** Returns the command of the role `entry`, split at spaces. */
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -5,14 +5,16 @@
 const PAGE_SIZE = 500;
 /** Time that the store takes for an answer, as the sheet of the site states. */
 const ANSWER_MS = 4;
+/** Idle time after which the platform closes a channel, as it tells in `Keep-Alive`. */
+const KEEP_ALIVE_MS = 60_000;
 const PATH = /^\/damaskspool\/objects\/(?<kind>[^\/?]+)(?:\/(?<name>[^?]+))?(?:\?(?<query>.*))?$/v;
 
 /**
  * Starts the platform.
  *
- * @param {object} options - `record` receives each usage report; `mayCutWatch()` tells whether a watch that begins to wait is cut off, and after which time
+ * @param {object} options - `record` receives each usage report; `onWrite` receives each write
  */
-export async function startPlatform({record, mayCutWatch = () => undefined}) {
+export async function startPlatform({record, onWrite}) {
 	const objects = new Map();
 	const events = [];
 	const waiting = new Set();
@@ -56,20 +58,9 @@
 
 	const listEvents = (kind, since) => events.filter(entry => entry.kind === kind && entry.revision > since).map(({event}) => event);
 
-	const watch = async (kind, since, {waitMs, request}) => {
+	const watch = async (kind, since, waitMs) => {
 		if (listEvents(kind, since).length === 0) {
-			const cutAfterMs = mayCutWatch(kind);
 			await new Promise(resolve => {
-				if (cutAfterMs !== undefined) {
-					setTimeout(() => {
-						if (waiting.has(wake)) {
-							record(`platform: a waiting watch of ${kind} is cut off`);
-							request.socket.destroy();
-							end();
-						}
-					}, cutAfterMs);
-				}
-
 				const wake = () => {
 					if (listEvents(kind, since).length > 0) {
 						end();
@@ -113,7 +104,9 @@
 		const body = text === '' ? undefined : JSON.parse(text);
 		if (request.url === '/usage') {
 			const {'x-lease-holder': holder, 'x-fence-token': fence} = request.headers;
-			reports.push({holder, fence: Number(fence), ...body});
+			reports.push({
+				holder, fence: Number(fence), atMs: performance.now(), ...body,
+			});
 			record(`platform: usage report of window ${body.WindowId} by ${holder}, fence ${fence}`);
 			return [200, {}];
 		}
@@ -124,7 +117,12 @@
 		}
 
 		if (request.method === 'POST' || request.method === 'PUT') {
-			return write(request, {kind, name}, body);
+			const written = write(request, {kind, name}, body);
+			if (written[0] === 200) {
+				onWrite?.({kind, name, body});
+			}
+
+			return written;
 		}
 
 		const parameters = new URLSearchParams(query);
@@ -134,11 +132,11 @@
 		}
 
 		return parameters.has('Watch')
-			? [200, await watch(kind, Number(parameters.get('Watch')), {waitMs: Number(parameters.get('WaitMs') ?? 0), request})]
+			? [200, await watch(kind, Number(parameters.get('Watch')), Number(parameters.get('WaitMs') ?? 0))]
 			: [200, list(kind, parameters.get('after') ?? '')];
 	};
 
-	const server = createServer(async (request, response) => {
+	const server = createServer({keepAliveTimeout: KEEP_ALIVE_MS}, async (request, response) => {
 		const [status, value] = await answer(request);
 		setTimeout(() => {
 			response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(value));
