Review: show requests to workers that left long before

Cause: of a target that was changed and removed in one page of the watch, only the change is applied, so it stays in use after it is gone.

--- a/review/lib/bookings.js
+++ b/review/lib/bookings.js
@@ -4,7 +4,7 @@
 import {BOUNDS} from './entry.js';
 import {createHeaders, startWorker} from './worker.js';
 
-const WORK_MS = 90;
+const WORK_MS = 150;
 const CLUMP_SIZE = 60;
 const SEND_GAP_MS = 1;
 const DEADLINE_MS = 2500;
@@ -13,7 +13,7 @@
 /** Time after the begin of a clump at which a worker leaves. Its bookings are answered by then. */
 export const LEAVE_AFTER_MS = 500;
 /** Time for which a worker goes on serving after its registration is gone: `DrainMs` and a little longer. It ends while the next clump is at work. */
-const LINGER_MS = BOUNDS.DrainMs + 560;
+const LINGER_MS = BOUNDS.DrainMs + 600;
 
 /** Starts a worker of the booking service. */
 export async function startBookingWorker({platform, id, record, onEnd, coldMs = 0}) {
@@ -41,6 +41,7 @@
 		startClump = resolve;
 	});
 	const send = async () => {
+		let startAtMs = performance.now();
 		while (!state.isOver) {
 			startClump?.();
 			clump = new Promise(resolve => {
@@ -53,7 +54,8 @@
 				await wait(SEND_GAP_MS);
 			}
 
-			await wait(CLUMP_GAP_MS - (CLUMP_SIZE * SEND_GAP_MS));
+			startAtMs += CLUMP_GAP_MS;
+			await wait(Math.max(0, startAtMs - performance.now()));
 		}
 	};
 
--- a/review/lib/worker.js
+++ b/review/lib/worker.js
@@ -42,10 +42,11 @@
 		}
 
 		const run = {
-			requestId, worker: id, atMs: performance.now(), method: request.method, path: request.url, headers: request.headers, body, isCut: false,
+			requestId, worker: id, atMs: performance.now(), method: request.method, path: request.url, headers: request.headers, body, isCut: false, isOver: false,
 		};
 		runs.push(run);
 		response.on('close', () => {
+			run.isOver = true;
 			run.isCut = !response.writableFinished;
 		});
 		handle(request, response, run);
