Review: keep the stand-ins beside the cases

Cause: folders of the review are cases, so the shared files lie beside them. Added: nothing; files moved and imports adapted.

--- a/review/2/case.js
+++ b/review/2/case.js
@@ -1,11 +1,11 @@
 /** A worker crashes in the middle of streams, while another one fails part of its requests. */
 import {setTimeout as wait} from 'node:timers/promises';
-import {createCaller} from '../lib/caller.js';
-import {createConfig} from '../lib/config.js';
-import {startEntry} from '../lib/entry.js';
-import {HAS_TROUBLE, runCase} from '../lib/run.js';
-import {startPlatform} from '../lib/store.js';
-import {createHeaders, startWorker} from '../lib/worker.js';
+import {createCaller} from '../caller.js';
+import {createConfig} from '../config.js';
+import {startEntry} from '../entry.js';
+import {HAS_TROUBLE, runCase} from '../run.js';
+import {startPlatform} from '../store.js';
+import {createHeaders, startWorker} from '../worker.js';
 
 const WORKERS = 7;
 const EVENTS = 42;
--- a/review/lib/entry.js
+++ b/review/entry.js
@@ -11,7 +11,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {findFreePort, HOST} from './net.js';
 
-const REPOSITORY_ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const REPOSITORY_ROOT = fileURLToPath(new URL('..', import.meta.url));
 const START_LIMIT_MS = 15_000;
 const POLL_MS = 100;
 
