Review: end an entry that does not become ready

Cause: a case that could not run left the process of its entry. Added: the process is killed before the case ends with 2.

--- a/review/entry.js
+++ b/review/entry.js
@@ -107,8 +107,7 @@
 		record(`${name}: ready`);
 	};
 
-	await waitUntilReady();
-	return {
+	const entry = {
 		name,
 		port: front,
 		lines,
@@ -134,4 +133,12 @@
 			rmSync(folder, {recursive: true, force: true});
 		},
 	};
+	try {
+		await waitUntilReady();
+	} catch (error) {
+		await entry.close();
+		throw error;
+	}
+
+	return entry;
 }
