Continue a stream only with the rest of it

Cause: the use of a target's answer was decided by its own status and type. Whether the caller had part of an answer from an earlier attempt was not part of the decision, so every answer below 500 that is no stream was appended and ended the response.

Change: decideAnswerUse takes what the caller has received into account. Only a signed stream with status 200 follows events. Other answers fail the attempt; a resumable stream goes on at a further target or is broken off. The entry with sidecars forwards a failure that is declared as a stream as a failure.

--- a/packages/bench/src/__tests__/badInput.test.ts
+++ b/packages/bench/src/__tests__/badInput.test.ts
@@ -39,6 +39,10 @@
 			response.writeHead(200, {'content-type': 'text/event-stream'});
 			response.end('id: 0\ndata: {}\n\nid: 2\ndata: {}\n\ndata: [DONE]\n\n');
 		},
+		missing(response) {
+			response.writeHead(404, {'content-type': 'text/event-stream'});
+			response.end('id: 0\ndata: {}\n\ndata: [DONE]\n\n');
+		},
 		silent(response) {
 			response.destroy();
 		},
@@ -258,6 +262,13 @@
 				assert.match(lastBody, new RegExp(`"code":"${code}".*"outcome":"${OUTCOMES.refusedUnknown}"`, 'v'), content);
 				assert.doesNotMatch(lastBody, /\[DONE\]/v, content);
 			}
+
+			await waitFor(async () => {
+				const {status, body} = await callEntry(deployment.entries[0]!.addresses.listen!, CHAT_PATH, {body: createChatBody('missing')});
+				return status === 404 || !body.includes(ERROR_CODES.noTarget);
+			});
+			const {status} = await callEntry(deployment.entries[0]!.addresses.listen!, CHAT_PATH, {body: createChatBody('missing')});
+			assert.equal(status, 404, 'a failure of the type of a stream');
 		} finally {
 			const codes = await deployment.stop();
 			await engine.close();
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -202,10 +202,16 @@
 			createRefusal(call, ERROR_CODES.targetFailed, OUTCOMES.refusedUnknown),
 		];
 	},
-	failed(state, call, {nowMs, detail, attemptId}) {
+	failed(state, call, {nowMs, detail, attemptId, isResponseStarted}) {
 		const {callId} = call;
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
-		const retryEffects = call.route.kind === ROUTE_KINDS.safe && !call.isResponseStarted
+		// The failure of a target cannot be forwarded to a caller that has events of the stream already.
+		const isStreamBroken = call.route.isResumable && isResponseStarted;
+		if (isStreamBroken) {
+			advanceRequest(call, {type: 'failUnknown'});
+		}
+
+		const retryEffects = isStreamBroken || (call.route.kind === ROUTE_KINDS.safe && !call.isResponseStarted)
 			? planNextAttempt(state, call, nowMs, undefined, true)
 			: undefined;
 		if (retryEffects?.some(({type}) => type === 'attempt.send')) {
--- a/packages/daemon/src/direct/callHandle.ts
+++ b/packages/daemon/src/direct/callHandle.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {type SentForm} from '@damaskspool/core';
 import {type CallerRequest} from '@damaskspool/runtime';
 import {type HeldCall} from './createMemoryLedger.js';
 
@@ -12,6 +13,8 @@
 	readonly response: ServerResponse;
 	/** Bytes held for the call. */
 	readonly held: HeldCall;
+	/** What the caller has received, from any attempt. */
+	sentForm: SentForm;
 	/** Identifier of the last complete event that the caller has. */
 	lastEventId: string | undefined;
 	/** Cancels the attempt in progress. */
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -3,7 +3,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type CallerLimits, type CallRequest} from '@damaskspool/core';
+import {type CallerLimits, type CallRequest, SENT_FORMS} from '@damaskspool/core';
 import {type DeploymentPorts} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
@@ -101,7 +101,7 @@
 			chunks.length = 0;
 			held.isReading = false;
 			const handle: CallHandle = {
-				callId, request, body, response, held, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
+				callId, request, body, response, held, sentForm: SENT_FORMS.nothing, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
 			};
 			response.on('close', () => {
 				if (!response.writableFinished) {
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	ATTEMPT_RESULTS, type AttemptResult, type SendServingAttempt, type TargetNotice,
+	ANSWER_USES, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type TargetNotice,
 } from '@damaskspool/core';
 import {type DeploymentPorts, type ResponseHead, type ResponseHeaders} from '@damaskspool/runtime';
 import {type CallHandle} from './callHandle.js';
@@ -46,12 +46,6 @@
 	readonly end: () => void;
 };
 
-/** Lowest status that stands for a failure of the target. */
-const MIN_FAILURE_STATUS = 500;
-/** Statuses below {@link MIN_FAILURE_STATUS} with which a target refuses a request. */
-const REFUSING_STATUSES: ReadonlySet<number> = new Set([408, 429]);
-/** Statuses that promise the caller that the request did not run. A response of a target with such a status is never forwarded. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([...REFUSING_STATUSES, 503]);
 const EVENT_STREAM = 'text/event-stream';
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
@@ -160,13 +154,14 @@
 
 	const createFailureSink = (status: number, head: ResponseHead): BodySink => createBoundedSink(body => {
 		handle.bufferedResponse = {
-			attemptId: attempt.attemptId, status, headers: head.headers, body, isSigned: head.isSigned && !NOT_RUN_STATUSES.has(status),
+			attemptId: attempt.attemptId, status, headers: head.headers, body, isSigned: head.isSigned && !isNotRunStatus(status),
 		};
 		finish(ATTEMPT_RESULTS.failed, `status ${status}`, true);
 	});
 
-	const writeHead = (status: number, {headers}: ResponseHead, length?: number) => {
+	const writeHead = (status: number, {headers}: ResponseHead, {form, length}: {form: SentForm; length?: number}) => {
 		if (!response.headersSent) {
+			handle.sentForm = form;
 			response.writeHead(status, [...headers, ...(length === undefined ? [] : ['content-length', String(length)])]);
 		}
 	};
@@ -186,7 +181,7 @@
 				}
 
 				begin();
-				writeHead(status, head);
+				writeHead(status, head, {form: SENT_FORMS.events});
 				handle.lastEventId = splitter.getLastEventId() ?? handle.lastEventId;
 				return forward(completeEvents);
 			},
@@ -203,7 +198,7 @@
 				}
 
 				begin();
-				writeHead(status, head);
+				writeHead(status, head, {form: SENT_FORMS.events});
 				response.end();
 				finish(ATTEMPT_RESULTS.answered, `status ${status}`);
 			},
@@ -227,7 +222,7 @@
 					return true;
 				}
 
-				writeHead(status, head);
+				writeHead(status, head, {form: SENT_FORMS.body});
 				handle.held.bufferedBytes = 0;
 				return forward(Buffer.concat(chunks.splice(0)));
 			},
@@ -236,7 +231,7 @@
 				if (response.headersSent) {
 					response.end();
 				} else {
-					writeHead(status, head, bytes);
+					writeHead(status, head, {form: SENT_FORMS.body, length: bytes});
 					response.end(Buffer.concat(chunks));
 				}
 
@@ -245,20 +240,22 @@
 		};
 	};
 
+	/** Creates the sink of an answer. The key of `reject` is missing, since nothing of such an answer is read. */
+	const sinkCreators: Readonly<Record<Exclude<AnswerUse, 'reject'>, (status: number, head: ResponseHead) => BodySink>> = {
+		[ANSWER_USES.forwardEvents]: createStreamSink,
+		[ANSWER_USES.forwardBody]: createBufferingSink,
+		[ANSWER_USES.failAttempt]: createFailureSink,
+	};
+
 	const pickSink = (status: number, head: ResponseHead, headers: ResponseHeaders): BodySink | undefined => {
 		if (attempt.isPrefillOnly) {
 			return createPrefillSink(status);
 		}
 
-		if (status >= MIN_FAILURE_STATUS || REFUSING_STATUSES.has(status)) {
-			return createFailureSink(status, head);
-		}
-
-		if (!head.isSigned) {
-			return undefined;
-		}
-
-		return String(headers['content-type']).startsWith(EVENT_STREAM) ? createStreamSink(status, head) : createBufferingSink(status, head);
+		const use = decideAnswerUse({
+			status, isSigned: head.isSigned, isEventStream: String(headers['content-type']).startsWith(EVENT_STREAM), sentForm: handle.sentForm,
+		});
+		return use === ANSWER_USES.reject ? undefined : sinkCreators[use](status, head);
 	};
 
 	const receiveHead = (status: number, headers: ResponseHeaders) => {
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -15,6 +15,7 @@
 
 /** Maximum size of a non-streamed response. It is buffered completely, so that a truncated one never reaches a caller. */
 const MAX_BUFFERED_RESPONSE_BYTES = 4 * MEBIBYTE_BYTES;
+const STATUS_OK = 200;
 /** Data of the last event of a complete stream. */
 const STREAM_END_DATA = '[DONE]';
 /** Maximum wait for the end of a body after its last event. It is short, so that it does not delay a complete response. */
@@ -127,7 +128,7 @@
 
 	onAnswered(load);
 	const contentType = String(headers['content-type'] ?? 'application/octet-stream');
-	const isStream = contentType.startsWith('text/event-stream');
+	const isStream = statusCode === STATUS_OK && contentType.startsWith('text/event-stream');
 	meter.begin(isStream);
 	if (isStream) {
 		return forwardStream(options, body);
