Forward only the next event of a stream

Cause: the splitter forwarded whatever ended with a blank line, and remembered its identifier as the caller's last event, so that an empty one let the next target begin anew.

Change: events are parsed and must be numbered one by one. Sound events before other bytes are forwarded, then the attempt counts as broken off and the stream goes on elsewhere after the last sound event. Entries with sidecars check the same of streams whose events have numbers.

Two rows of badInput.test.ts fail before. A property of the splitter.

--- a/packages/bench/src/__tests__/badInput.test.ts
+++ b/packages/bench/src/__tests__/badInput.test.ts
@@ -39,6 +39,14 @@
 			response.writeHead(200, {'content-type': 'text/event-stream'});
 			response.end('id: 0\ndata: {}\n\nid: 2\ndata: {}\n\ndata: [DONE]\n\n');
 		},
+		unnumbered(response) {
+			response.writeHead(200, {'content-type': 'text/event-stream'});
+			response.end('id: 0\ndata: {}\n\nid: \ndata: {}\n\ndata: [DONE]\n\n');
+		},
+		anonymous(response) {
+			response.writeHead(200, {'content-type': 'text/event-stream'});
+			response.end('id: 0\ndata: {}\n\ndata: {}\n\ndata: [DONE]\n\n');
+		},
 		missing(response) {
 			response.writeHead(404, {'content-type': 'text/event-stream'});
 			response.end('id: 0\ndata: {}\n\ndata: [DONE]\n\n');
@@ -247,6 +255,8 @@
 			['early', ERROR_CODES.targetFailed],
 			['half', ERROR_CODES.targetFailed],
 			['skipping', ERROR_CODES.answerMalformed],
+			['unnumbered', ERROR_CODES.answerMalformed],
+			['anonymous', ERROR_CODES.answerMalformed],
 			['silent', ERROR_CODES.targetFailed],
 			['crossed', ERROR_CODES.answerCrossed],
 		] as const;
--- /dev/null
+++ b/packages/core/src/request/eventOrder.ts
@@ -0,0 +1,32 @@
+/**
+ * Order of the events of a stream. They are numbered one by one, so an event that is missing, repeated or foreign is
+ * noticed by its identifier.
+ */
+
+/** Highest identifier of the first event of a stream. Streams begin at 0 or 1. */
+const MAX_FIRST_ID = 1;
+/** Identifier that counts as a number. Longer ones are not represented exactly. */
+const NUMBER = /^\d{1,15}$/v;
+
+/**
+ * Parses the identifier of an event.
+ *
+ * @returns undefined if it is not a number
+ */
+export function parseEventNumber(eventId: string): number | undefined {
+	return NUMBER.test(eventId) ? Number(eventId) : undefined;
+}
+
+/**
+ * Tells whether an event directly follows the last one that a caller has.
+ *
+ * @param lastEventId - undefined or empty if the caller has none; any event follows one without a number, which only a caller can name
+ */
+export function isNextEvent(lastEventId: string | undefined, eventNumber: number): boolean {
+	if (lastEventId === undefined || lastEventId === '') {
+		return eventNumber <= MAX_FIRST_ID;
+	}
+
+	const lastNumber = parseEventNumber(lastEventId);
+	return lastNumber === undefined || eventNumber === lastNumber + 1;
+}
--- /dev/null
+++ b/packages/daemon/src/direct/__tests__/createEventSplitter.test.ts
@@ -0,0 +1,52 @@
+/** Whatever a faulty target sends, a caller receives a part of its stream from the first event that is due. */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createEventSplitter} from '../createEventSplitter.js';
+
+const SEED = 20_261_205;
+const EXTRA_FIELDS: ReadonlySet<string> = new Set(['weights']);
+
+/** Creates the events after a number, with data of one or two lines. */
+function createEvents(lastId: number, texts: ReadonlyArray<readonly string[]>): readonly string[] {
+	return texts.map((lines, index) => `id: ${lastId + index + 1}\n${lines.map(line => `data: ${line}\n`).join('')}\n`);
+}
+
+const lineArbitrary = fc.string({maxLength: 12}).map(text => text.replaceAll(/\p{Cc}/gv, ''));
+const loadArbitrary = fc.record({
+	lastId: fc.nat(50),
+	texts: fc.array(fc.array(lineArbitrary, {minLength: 1, maxLength: 2}), {maxLength: 6}),
+	/** Bytes of a fault, and where they are put into the stream. */
+	fault: fc.record({bytes: fc.uint8Array({maxLength: 12}), isBlankLineAdded: fc.boolean(), atShare: fc.double({min: 0, max: 1, noNaN: true})}),
+	cuts: fc.array(fc.nat(400), {maxLength: 8}),
+});
+
+describe('the splitter of events', () => {
+	it('passes the sound events before a fault, and stops there', () => {
+		fc.assert(fc.property(loadArbitrary, ({lastId, texts, fault, cuts}) => {
+			const events = createEvents(lastId, texts);
+			const sound = Buffer.from(events.join(''));
+			const at = Math.round(fault.atShare * sound.length);
+			const bytes = Buffer.concat([sound.subarray(0, at), fault.bytes, Buffer.from(fault.isBlankLineAdded ? '\n\n' : ''), sound.subarray(at)]);
+			const splitter = createEventSplitter({lastEventId: String(lastId), extraFields: EXTRA_FIELDS});
+			const passed: Buffer[] = [];
+			const ends = [...new Set(cuts.map(cut => Math.min(cut, bytes.length)))].toSorted((a, b) => a - b);
+			let start = 0;
+			for (const end of [...ends, bytes.length]) {
+				const {completeEvents, isOutOfOrder} = splitter.push(bytes.subarray(start, end));
+				passed.push(completeEvents ?? Buffer.alloc(0));
+				start = end;
+				if (isOutOfOrder) {
+					break;
+				}
+			}
+
+			const numbers = [...Buffer.concat(passed).toString('utf8').matchAll(/^id: ?(?<id>.*)$/gmv)].map(({groups}) => Number(groups!.id));
+			assert.deepEqual(numbers, numbers.map((_number, index) => lastId + index + 1));
+			// Events that end before the fault are sound, whatever follows.
+			const soundCount = events.filter((_event, index) => Buffer.byteLength(events.slice(0, index + 1).join('')) <= at).length;
+			assert.ok(numbers.length >= soundCount, `${numbers.length} of ${soundCount} sound events`);
+		}), {seed: SEED, numRuns: 500});
+	});
+});
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -1,42 +1,58 @@
 import {Buffer} from 'node:buffer';
+import {isNextEvent} from '@damaskspool/core';
+import {EVENT_END, parseEvent} from './parseEvent.js';
+
+/** What a chunk adds to a stream. */
+export type SplitResult = {
+	/** Unchanged bytes of the events that the chunk completes; undefined if it completes none. */
+	readonly completeEvents: Buffer | undefined;
+	/** Whether bytes follow that are not the next event of the stream. Nothing after them can be used. */
+	readonly isOutOfOrder: boolean;
+};
 
 /** Splits a stream of chunks into complete server-sent events. */
 export type EventSplitter = {
-	/** Adds a chunk. Returns the unchanged bytes of the events that it completes, or undefined if it completes none. */
-	readonly push: (chunk: Buffer) => Buffer | undefined;
-	/** Returns the identifier of the last complete event that has one. */
+	/** Adds a chunk. */
+	readonly push: (chunk: Buffer) => SplitResult;
+	/** Returns the identifier of the last complete event, or the one that the splitter was created with. */
 	readonly getLastEventId: () => string | undefined;
 	/** Returns the number of buffered bytes, which belong to an incomplete event. */
 	readonly countIncompleteBytes: () => number;
 };
 
-const EVENT_END = '\n\n';
-/** The `id` field of an event, on any of its lines. */
-const ID_FIELD = /^id: ?(?<id>.*)$/gmv;
+/** Options of {@link createEventSplitter}. */
+export type EventSplitterOptions = {
+	/** Identifier of the last event that the caller has; undefined if it has none. */
+	readonly lastEventId: string | undefined;
+	/** Names of fields that targets may send in addition to the standard ones. */
+	readonly extraFields: ReadonlySet<string>;
+};
 
 /**
- * Creates a splitter that buffers an event until it is complete, so that a caller
- * never receives part of an event when the target's connection breaks.
+ * Creates a splitter that buffers an event until it is complete, so that a caller never receives part of an event when the
+ * target's connection breaks, nor bytes that are no event of the stream.
  */
-export function createEventSplitter(): EventSplitter {
+export function createEventSplitter({lastEventId: firstEventId, extraFields}: EventSplitterOptions): EventSplitter {
 	let incompleteEvent: Buffer = Buffer.alloc(0);
-	let lastEventId: string | undefined;
+	let lastEventId = firstEventId;
 	return {
 		push(chunk) {
 			const joined = incompleteEvent.length === 0 ? chunk : Buffer.concat([incompleteEvent, chunk]);
-			const end = joined.lastIndexOf(EVENT_END);
-			if (end === -1) {
-				incompleteEvent = joined;
-				return undefined;
-			}
+			let start = 0;
+			let isOutOfOrder = false;
+			for (let end = joined.indexOf(EVENT_END); end !== -1; end = joined.indexOf(EVENT_END, start)) {
+				const event = parseEvent(joined.subarray(start, end + EVENT_END.length), extraFields);
+				if (event === undefined || !isNextEvent(lastEventId, event.number)) {
+					isOutOfOrder = true;
+					break;
+				}
 
-			const completeEvents = joined.subarray(0, end + EVENT_END.length);
-			incompleteEvent = joined.subarray(end + EVENT_END.length);
-			for (const match of completeEvents.toString('latin1').matchAll(ID_FIELD)) {
-				lastEventId = match.groups?.id;
+				lastEventId = event.id;
+				start = end + EVENT_END.length;
 			}
 
-			return completeEvents;
+			incompleteEvent = joined.subarray(start);
+			return {completeEvents: start === 0 ? undefined : joined.subarray(0, start), isOutOfOrder};
 		},
 		getLastEventId: () => lastEventId,
 		countIncompleteBytes: () => incompleteEvent.length,
--- /dev/null
+++ b/packages/daemon/src/direct/parseEvent.ts
@@ -0,0 +1,46 @@
+import {type Buffer, isUtf8} from 'node:buffer';
+import {parseEventNumber} from '@damaskspool/core';
+
+/** Identifier of an event, as it is written and as a number. */
+export type NumberedEvent = {readonly id: string; readonly number: number};
+
+/** Blank line that closes an event. */
+export const EVENT_END = '\n\n';
+/** Fields of the specification of server-sent events. */
+const STANDARD_FIELDS: ReadonlySet<string> = new Set(['id', 'data', 'event', 'retry']);
+/** Control characters of ASCII other than a tab and a line break. */
+const CONTROL_CHARACTER = /[\p{Cc}--[\t\n\u0080-\u009F]]/v;
+
+/**
+ * Parses an event of a numbered stream.
+ *
+ * @param bytes - the event with its closing blank line
+ * @param extraFields - names of fields that targets may send in addition to the standard ones
+ * @returns undefined for bytes that are no such event: unknown fields, malformed text, no data, or not exactly one number
+ */
+export function parseEvent(bytes: Buffer, extraFields: ReadonlySet<string>): NumberedEvent | undefined {
+	const text = isUtf8(bytes) ? bytes.toString('utf8') : '';
+	if (CONTROL_CHARACTER.test(text)) {
+		return undefined;
+	}
+
+	let id: string | undefined;
+	let hasData = false;
+	for (const line of text.slice(0, -EVENT_END.length).split('\n')) {
+		const [name, value] = splitLine(line);
+		if (!(STANDARD_FIELDS.has(name) || extraFields.has(name)) || (name === 'id' && id !== undefined)) {
+			return undefined;
+		}
+
+		id = name === 'id' ? value : id;
+		hasData ||= name === 'data';
+	}
+
+	const number = id === undefined || !hasData ? undefined : parseEventNumber(id);
+	return number === undefined ? undefined : {id: id!, number};
+}
+
+function splitLine(line: string): readonly [name: string, value: string] {
+	const colon = line.indexOf(':');
+	return colon === -1 ? ['', ''] : [line.slice(0, colon), line.slice(colon + 1).replace(/^ /v, '')];
+}
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -167,23 +167,25 @@
 	};
 
 	const createStreamSink = (status: number, head: ResponseHead): BodySink => {
-		const splitter = createEventSplitter();
+		const splitter = createEventSplitter({lastEventId: handle.lastEventId, extraFields: ports.extraEventFields});
 		return {
 			write(chunk) {
-				const completeEvents = splitter.push(chunk);
-				if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
-					fail('an event of the stream is longer than any event');
-					return true;
+				const {completeEvents, isOutOfOrder} = splitter.push(chunk);
+				let isWritable = true;
+				if (completeEvents !== undefined) {
+					begin();
+					writeHead(status, head, {form: SENT_FORMS.events});
+					handle.lastEventId = splitter.getLastEventId();
+					isWritable = forward(completeEvents);
 				}
 
-				if (completeEvents === undefined) {
-					return true;
+				if (isOutOfOrder) {
+					fail(`the stream goes on with something else than its next event (after ${handle.lastEventId ?? 'none'})`);
+				} else if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
+					fail('an event of the stream is longer than any event');
 				}
 
-				begin();
-				writeHead(status, head, {form: SENT_FORMS.events});
-				handle.lastEventId = splitter.getLastEventId() ?? handle.lastEventId;
-				return forward(completeEvents);
+				return isWritable;
 			},
 			end() {
 				if (splitter.countIncompleteBytes() > 0) {
--- a/packages/daemon/src/entry/sendAttempt.ts
+++ b/packages/daemon/src/entry/sendAttempt.ts
@@ -1,8 +1,8 @@
 import {type Buffer} from 'node:buffer';
 import {type Readable} from 'node:stream';
-import {type SendAttempt} from '@damaskspool/core';
+import {parseEventNumber, type SendAttempt} from '@damaskspool/core';
 import {
-	discardBody, MalformedStreamError, readBody, splitServerSentEvents,
+	discardBody, MalformedStreamError, readBody, type ServerSentEvent, splitServerSentEvents,
 } from '@damaskspool/runtime';
 import {
 	computeFingerprint, createFailure, ERROR_CODES, type ErrorCode, type Failure, HEADERS, type LoadReport,
@@ -158,7 +158,7 @@
 			}
 
 			const event = next.value;
-			if (event.id !== undefined && !isNextEvent(progress.lastEventId, event.id)) {
+			if (!isNextEvent(progress.lastEventId, event)) {
 				return createFailedResult(ERROR_CODES.answerMalformed, {detail: 'an event of the stream is missing or duplicated'});
 			}
 
@@ -185,14 +185,17 @@
 	}
 }
 
-/** Returns whether an event directly follows the last one that the caller has. Non-numeric ids must only differ. */
-function isNextEvent(lastId: string | undefined, id: string): boolean {
-	if (lastId === undefined) {
-		return true;
+/**
+ * Returns whether an event directly follows the last one that the caller has. Once events have identifiers, only comments
+ * and the end of the stream have none. Identifiers that are no numbers must only differ.
+ */
+function isNextEvent(lastId: string | undefined, {id, data}: ServerSentEvent): boolean {
+	if (id === undefined) {
+		return lastId === undefined || data === undefined || data === STREAM_END_DATA;
 	}
 
-	const isNumbered = /^\d{1,15}$/v.test(lastId) && /^\d{1,15}$/v.test(id);
-	return isNumbered ? Number(id) === Number(lastId) + 1 : id !== lastId;
+	const lastNumber = lastId === undefined ? undefined : parseEventNumber(lastId);
+	return lastNumber === undefined ? id !== '' && id !== lastId : parseEventNumber(id) === lastNumber + 1;
 }
 
 /**
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -106,6 +106,8 @@
 	readonly parseResponseHead: (status: number, headers: ResponseHeaders) => ResponseHead;
 	/** Returns the headers of an attempt, as alternating names and values. `lastEventId` is set if the attempt resumes a stream. */
 	readonly formatAttemptHeaders: (send: SendServingAttempt, request: CallerRequest, lastEventId: string | undefined) => string[];
+	/** Fields that events of targets may have beside those of the specification of server-sent events. */
+	readonly extraEventFields: ReadonlySet<string>;
 	/** Returns the KV cache handle from the body of a disaggregated prefill's response, or undefined if it contains none. */
 	readonly parsePrefillResponse: (body: string) => string | undefined;
 	/** Returns the headers with which a refusal states the retry delay. Returns none if `retryAfterMs` is undefined. */
