Use no registration that names no usable target

Cause: only the shape of an address was checked, fields that are not read were not, and an error in a page ended the loop that reads the next one.

--- /dev/null
+++ b/packages/daemon/src/direct/__tests__/watchObjects.test.ts
@@ -0,0 +1,45 @@
+/** Guards against a page of the store that ends the watch, so that an entry goes on with what it knew. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type MetadataObject, type MetadataStore} from '@damaskspool/runtime';
+import {Ok} from '@damaskspool/shared';
+import {watchObjects} from '../watchObjects.js';
+
+const createObject = (name: string): MetadataObject => ({
+	name, version: 1, value: {}, isRemoved: false,
+});
+
+/** Creates the calls of a store that lists one object and reports another one in each watch. */
+function createStore(): Pick<MetadataStore, 'list' | 'watch'> {
+	let version = 1;
+	return {
+		list: async () => Ok({version, objects: [createObject('listed')]}),
+		async watch() {
+			version += 1;
+			return Ok({version, objects: [createObject(`changed-${version}`)]});
+		},
+	};
+}
+
+describe('a watch', () => {
+	it('lists again after a page that could not be handled', async () => {
+		const pages: string[] = [];
+		const failures: string[] = [];
+		await watchObjects({
+			store: createStore() as MetadataStore,
+			kind: 'targets',
+			isStopped: () => pages.length === 4,
+			onPage({objects}, isFullList) {
+				pages.push(`${isFullList ? 'list' : 'change'} ${objects[0]!.name}`);
+				if (pages.length === 2) {
+					throw new Error('the page is odd');
+				}
+			},
+			onFailure({message}) {
+				failures.push(message);
+			},
+		});
+		assert.deepEqual(pages, ['list listed', 'change changed-2', 'list listed', 'change changed-3']);
+		assert.equal(failures.length, 1);
+	});
+});
--- a/packages/daemon/src/direct/createPeerDirectory.ts
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {type Logger, type MetadataStore} from '@damaskspool/runtime';
+import {isPort, isUsableIp} from '@damaskspool/shared';
 
 /** Address at which an entry receives reports of its peers. */
 export type PeerAddress = {readonly ip: string; readonly port: number; readonly availabilityZone: string};
@@ -22,7 +23,7 @@
 const RETRY_DELAY_MS = 700;
 
 const entrySchema = z.object({
-	ip: z.string(), port: z.number(), availabilityZone: z.string(), processId: z.string(),
+	ip: z.string().refine(ip => isUsableIp(ip)), port: z.number().refine(port => isPort(port)), availabilityZone: z.string(), processId: z.string(),
 });
 
 /** Registers the local entry in the store and lists its peers there until it is stopped. */
--- a/packages/daemon/src/direct/startStoreWatches.ts
+++ b/packages/daemon/src/direct/startStoreWatches.ts
@@ -14,6 +14,9 @@
 	readonly isStopped: () => boolean;
 };
 
+/** Characters of an object's name in a log line. */
+const MAX_LOGGED_NAME_LENGTH = 200;
+
 /**
  * Watches the configuration and the targets in the store and dispatches their changes.
  * For each of the two, logs the start and the end of each store outage once.
@@ -49,7 +52,7 @@
 			removed.push(name);
 			if (parsed !== undefined) {
 				metrics.count('targets_malformed');
-				logger.warn('target.malformed', {name, detail: parsed.val.message});
+				logger.warn('target.malformed', {name: name.slice(0, MAX_LOGGED_NAME_LENGTH), detail: parsed.val.message});
 			}
 		}
 
--- a/packages/daemon/src/direct/watchObjects.ts
+++ b/packages/daemon/src/direct/watchObjects.ts
@@ -1,6 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
-import {type MetadataPage, type MetadataStore} from '@damaskspool/runtime';
-import {ERROR_CODES, type Failure} from '@damaskspool/shared';
+import {formatError, type MetadataPage, type MetadataStore} from '@damaskspool/runtime';
+import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
 
 /** Options of {@link watchObjects}. */
 export type WatchObjectsOptions = {
@@ -32,32 +32,47 @@
 export async function watchObjects({store, kind, onPage, onUnchanged, onFailure, isStopped}: WatchObjectsOptions): Promise<void> {
 	let version: number | undefined;
 	let failureCount = 0;
-	while (!isStopped()) {
+
+	const waitAfterFailure = async (failure: Failure) => {
+		failureCount += 1;
+		onFailure(failure);
+		await wait(Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * (2 ** (failureCount - 1))));
+	};
+
+	const callStore = async () => {
 		const isFullList = version === undefined;
 		const result = await (version === undefined ? store.list(kind) : store.watch(kind, version));
-		if (result.ok) {
-			failureCount = 0;
-			version = Math.max(version ?? 0, result.val.version);
-			if (isFullList || result.val.objects.length > 0) {
-				onPage(result.val, isFullList);
+		if (result.err) {
+			if (result.val.code === ERROR_CODES.historyGone) {
+				version = undefined;
 			} else {
-				onUnchanged?.();
+				await waitAfterFailure(result.val);
 			}
 
-			if (!isFullList && result.val.objects.length > 0) {
-				await wait(CHANGE_PAUSE_MS);
-			}
+			return;
+		}
 
-			continue;
+		version = Math.max(version ?? 0, result.val.version);
+		const hasChanges = result.val.objects.length > 0;
+		if (isFullList || hasChanges) {
+			onPage(result.val, isFullList);
+		} else {
+			onUnchanged?.();
 		}
 
-		if (result.val.code === ERROR_CODES.historyGone) {
-			version = undefined;
-			continue;
+		failureCount = 0;
+		if (!isFullList && hasChanges) {
+			await wait(CHANGE_PAUSE_MS);
 		}
+	};
 
-		failureCount += 1;
-		onFailure(result.val);
-		await wait(Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * (2 ** (failureCount - 1))));
+	while (!isStopped()) {
+		try {
+			await callStore();
+		} catch (error) {
+			// A page that cannot be handled must not end the watch. The list makes up for what it lacked.
+			version = undefined;
+			await waitAfterFailure(createFailure(ERROR_CODES.internal, {detail: formatError(error)}));
+		}
 	}
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -15,6 +15,7 @@
 export * from './results.js';
 export * from './roundSignificant.js';
 export * from './setNewest.js';
+export * from './socketAddress.js';
 export * from './storeVersion.js';
 export * from './units.js';
 export * from './usageDocuments.js';
