Take an answer without an identifier only as the first of its connection

Cause: an answer without an identifier was taken for the one that was due.

Change: such an answer counts only as the first of its connection. Otherwise the outcome of the request is unknown.

--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -84,6 +84,7 @@
 					memoryLedger,
 					isHandlingReset: pools.isHandlingReset,
 					onProgress: pools.recordProgress,
+					recordAnswer: pools.recordAnswer,
 					isPaused: () => isPaused(target.targetId),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
--- a/packages/daemon/src/direct/createProgressGuard.ts
+++ b/packages/daemon/src/direct/createProgressGuard.ts
@@ -7,6 +7,8 @@
 export type ProgressGuard = {
 	/** Records that the bytes that were just read completed the head of a response or were part of its body. */
 	readonly recordProgress: () => void;
+	/** Records the head of an answer that was just read. Returns whether no other answer came before it on its connection. */
+	readonly recordAnswer: () => boolean;
 	/** Destroys a socket once more than the maximum number of its bytes in a row led to no progress. */
 	readonly watchSocket: (socket: Socket) => void;
 };
@@ -17,17 +19,25 @@
 /** Creates a guard for the connections of an entry to its targets. */
 export function createProgressGuard(): ProgressGuard {
 	let progressCount = 0;
+	/** Connection whose bytes were read last. The HTTP client parses them before it reads those of another one. */
+	let connectionRead = {answerCount: 0};
 	return {
 		recordProgress() {
 			progressCount += 1;
 		},
+		recordAnswer() {
+			connectionRead.answerCount += 1;
+			return connectionRead.answerCount === 1;
+		},
 		watchSocket(socket) {
+			const connection = {answerCount: 0};
 			const readSocket = socket.read.bind(socket);
 			let unproductiveBytes = 0;
 			let lastBytes = 0;
 			let countBeforeRead = 0;
 			// The HTTP client parses each chunk before it reads the next one, and reads until nothing is left.
 			socket.read = size => {
+				connectionRead = connection;
 				unproductiveBytes = progressCount === countBeforeRead ? unproductiveBytes + lastBytes : 0;
 				if (unproductiveBytes > MAX_UNPRODUCTIVE_BYTES) {
 					socket.destroy(new Error('the target sends bytes that are no response'));
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -9,6 +9,8 @@
 	readonly isHandlingReset: () => boolean;
 	/** Records that bytes of a connection were part of a response; see {@link ProgressGuard}. */
 	readonly recordProgress: ProgressGuard['recordProgress'];
+	/** Records the head of an answer. Returns whether it is the first of its connection. */
+	readonly recordAnswer: ProgressGuard['recordAnswer'];
 	/** Returns the pool of a target; replaces it if the address, the connection limit or the idle timeout has changed. */
 	readonly resolve: (target: TargetRecord, maxConnections: number) => Dispatcher;
 	/** Records that a connection failed before a response. Targets may be dropping idle connections, so all idle timeouts are shortened for a while. */
@@ -44,6 +46,7 @@
 	return {
 		isHandlingReset: resetDetector.isHandlingReset,
 		recordProgress: progressGuard.recordProgress,
+		recordAnswer: progressGuard.recordAnswer,
 		resolve(target, maxConnections) {
 			const existing = pools.get(target.targetId);
 			const isPlain = target.stage === undefined;
