--- a/packages/core/src/serving/__tests__/simulateStreams.ts
+++ b/packages/core/src/serving/__tests__/simulateStreams.ts
@@ -279,7 +279,7 @@
 		});
 	};
 
-	const freezeEntry = () => {
+	const pauseEntry = () => {
 		const entry = pickEntry();
 		if (entry !== undefined) {
 			entry.frozenUntilMs = fleet.getNowMs() + 200 + (fleet.random() * 3000);
@@ -300,7 +300,7 @@
 			[restartGapMs, replaceProcess],
 			[storeCutGapMs, silenceEntry(true)],
 			[fullCutGapMs, silenceEntry(false)],
-			[freezeGapMs, freezeEntry],
+			[freezeGapMs, pauseEntry],
 			[fleetKillGapMs, killFleetOnce],
 			[storeOutageGapMs, fleet.silenceStore],
 			[storeRestoreGapMs, fleet.restoreStore],
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -10,7 +10,7 @@
 import {
 	findStreamVersion, isResumption, recordStreamVersion, toStreamRequestId,
 } from './streamContinuity.js';
-import {rejectCall} from './rejectCall.js';
+import {refuseArrival} from './refuseArrival.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
 	ATTEMPT_RESULTS, type CallRequest, type ServingEffect, type ServingEvent,
@@ -122,7 +122,7 @@
 	}
 
 	if (typeof resolved === 'string') {
-		return rejectCall(state, event, resolved);
+		return refuseArrival(state, event, resolved);
 	}
 
 	const {route, serviceId, customerId, streamVersion} = resolved;
--- a/packages/core/src/serving/rejectCall.ts
+++ b/packages/core/src/serving/refuseArrival.ts
@@ -7,8 +7,8 @@
 /** Retry-after of a stream whose version is not known: the time for reports of peers to arrive. */
 const STREAM_RETRY_AFTER_MS = 300;
 
-/** Creates the effects that reject a call for which nothing was sent. */
-export function rejectCall({configuration}: ServingState, {callId, request}: CallArrived, code: ErrorCode): readonly ServingEffect[] {
+/** Creates the effects that refuse a call that has just arrived, for which nothing was sent. */
+export function refuseArrival({configuration}: ServingState, {callId, request}: CallArrived, code: ErrorCode): readonly ServingEffect[] {
 	return [{
 		type: 'call.refuse', callId, code, outcome: OUTCOMES.refusedNotRun, retryAfterMs: code === ERROR_CODES.streamVersionUnknown ? STREAM_RETRY_AFTER_MS : undefined,
 	}, {
--- a/packages/core/src/serving/takeUpHandlers.ts
+++ b/packages/core/src/serving/takeUpHandlers.ts
@@ -1,7 +1,7 @@
 import {ERROR_CODES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {beginCall} from './callHandlers.js';
-import {rejectCall} from './rejectCall.js';
+import {refuseArrival} from './refuseArrival.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingState} from './servingState.js';
 import {type CallArrived, readForTakeUps, takeHeld} from './streamTakeUps.js';
@@ -13,7 +13,7 @@
 export const takeUpHandlers: HandlerTable<ServingState, ServingEvent, ServingEffect> = {
 	'versions.readEnded'(state, {result, nowMs}) {
 		if (result.kind === 'failed') {
-			return rejectHeld(state, takeHeld(state, nowMs));
+			return refuseHeld(state, takeHeld(state, nowMs));
 		}
 
 		const confirmed = takeHeld(state, state.versionHistory.readStartedAtMs);
@@ -27,9 +27,9 @@
 		takeUps.delete(callId);
 		return [];
 	},
-	tick: (state, {nowMs}) => [...rejectHeld(state, takeHeld(state, nowMs - MAX_HOLD_MS)), ...readForTakeUps(state, nowMs)],
+	tick: (state, {nowMs}) => [...refuseHeld(state, takeHeld(state, nowMs - MAX_HOLD_MS)), ...readForTakeUps(state, nowMs)],
 };
 
-function rejectHeld(state: ServingState, held: readonly CallArrived[]): readonly ServingEffect[] {
-	return held.flatMap(event => rejectCall(state, event, ERROR_CODES.streamVersionUnknown));
+function refuseHeld(state: ServingState, held: readonly CallArrived[]): readonly ServingEffect[] {
+	return held.flatMap(event => refuseArrival(state, event, ERROR_CODES.streamVersionUnknown));
 }
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -244,7 +244,7 @@
 		};
 	};
 
-	/** Creates the sink of an answer. The key of `reject` is missing, since nothing of such an answer is read. */
+	/** Creates the sink for each use of an answer. A rejected one is not read. */
 	const sinkCreators: Readonly<Record<Exclude<AnswerUse, 'reject'>, (status: number, head: ResponseHead) => BodySink>> = {
 		[ANSWER_USES.forwardEvents]: createStreamSink,
 		[ANSWER_USES.forwardBody]: createBufferingSink,
