Log how an answer was framed and after which event it ended

`call.ended` of an answer and `attempt.ended` state the framing of the answer (length, chunks, or the end of its connection) and the last event that the caller has; `answers{framing=...}` counts them on the metrics address.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,6 +44,7 @@
 export * from './reducer/sidecarReducer.js';
 export * from './reducer/sidecarState.js';
 export * from './request/admitRequest.js';
+export * from './request/answerFraming.js';
 export * from './request/answerUse.js';
 export * from './request/eventOrder.js';
 export * from './request/requestHandlers.js';
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -180,37 +180,39 @@
 
 /** Handlers of the end of an attempt, by its result. */
 const attemptEndHandlers: Readonly<Record<AttemptEnded['result'], AttemptEndHandler>> = {
-	answered(state, call, {nowMs}) {
+	answered(state, call, {nowMs, framing, lastEventId}) {
 		const {request} = call;
 		state.poisonRequests.recordAnswer(request.fingerprint);
 		const decisions = state.poisonParts.recordAnswer(listSharedPartIds(request), nowMs);
 		advanceRequest(call, {type: 'finish'});
-		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered'})];
+		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered', answer: {framing, lastEventId}})];
 	},
-	notRun(state, call, {nowMs, detail}) {
-		return retryNotRun(state, call, {nowMs, detail});
+	notRun(state, call, event) {
+		return retryNotRun(state, call, event);
 	},
-	unreached(state, call, {nowMs, detail}) {
-		return retryNotRun(state, call, {nowMs, detail});
+	unreached(state, call, event) {
+		return retryNotRun(state, call, event);
 	},
-	unknown(state, call, {nowMs, detail}) {
+	unknown(state, call, event) {
+		const {nowMs} = event;
 		recordCrash(state, call, nowMs);
 		const probeEffects = suspectCrash(state, call, nowMs);
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		const next = advanceRequest(call, {type: 'failUnknown'});
 		if (next === 'retrying') {
-			return [createAttemptRecord(call, 'unknown', detail), ...probeEffects, ...planNextAttempt(state, call, nowMs)];
+			return [createAttemptRecord(call, 'unknown', event), ...probeEffects, ...planNextAttempt(state, call, nowMs)];
 		}
 
 		return [
-			createAttemptRecord(call, 'unknown', detail),
+			createAttemptRecord(call, 'unknown', event),
 			...probeEffects,
 			...endCall(state, call, {nowMs, outcome: 'unknown'}),
 			createRefusal(call, ERROR_CODES.targetFailed, OUTCOMES.refusedUnknown),
 		];
 	},
-	failed(state, call, {nowMs, detail, attemptId, isResponseStarted}) {
+	failed(state, call, event) {
 		const {callId} = call;
+		const {nowMs, attemptId, isResponseStarted} = event;
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		// The failure of a target cannot be forwarded to a caller that has events of the stream already.
 		const isStreamBroken = call.route.isResumable && isResponseStarted;
@@ -222,11 +224,11 @@
 			? planNextAttempt(state, call, nowMs, undefined, true)
 			: undefined;
 		if (retryEffects?.some(({type}) => type === 'attempt.send')) {
-			return [createAttemptRecord(call, 'failed', detail), ...retryEffects];
+			return [createAttemptRecord(call, 'failed', event), ...retryEffects];
 		}
 
 		return [
-			createAttemptRecord(call, 'failed', detail),
+			createAttemptRecord(call, 'failed', event),
 			...endCall(state, call, {nowMs, outcome: 'failed'}),
 			{type: 'attempt.forward', callId, attemptId},
 		];
@@ -234,10 +236,10 @@
 	cancelled: () => [],
 };
 
-function retryNotRun(state: ServingState, call: ServingCall, {nowMs, detail}: {nowMs: number; detail: string}): readonly ServingEffect[] {
+function retryNotRun(state: ServingState, call: ServingCall, event: AttemptEnded): readonly ServingEffect[] {
 	call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 	advanceRequest(call, {type: 'failNotRun'});
-	return [createAttemptRecord(call, 'notRun', detail), ...planNextAttempt(state, call, nowMs)];
+	return [createAttemptRecord(call, 'notRun', event), ...planNextAttempt(state, call, event.nowMs)];
 }
 
 /**
@@ -256,15 +258,15 @@
 	}
 }
 
-function createAttemptRecord({request, attempt}: ServingCall, result: string, detail: string): ServingEffect {
+function createAttemptRecord({request, attempt}: ServingCall, result: string, {detail, framing, lastEventId}: AttemptEnded): ServingEffect {
 	return {
 		type: 'decision.record', name: 'attempt.ended', subject: request.requestId, detail: {
-			result, detail, target: attempt?.target.record.targetId, ...(result === ATTEMPT_RESULTS.unknown && {parts: listSharedPartIds(request)}),
+			result, detail, target: attempt?.target.record.targetId, framing, lastEventId, ...(result === ATTEMPT_RESULTS.unknown && {parts: listSharedPartIds(request)}),
 		},
 	};
 }
 
-function endCall(state: ServingState, call: ServingCall, {nowMs, outcome}: {nowMs: number; outcome: string}): readonly ServingEffect[] {
+function endCall(state: ServingState, call: ServingCall, {nowMs, outcome, answer}: {nowMs: number; outcome: string; answer?: Pick<AttemptEnded, 'framing' | 'lastEventId'>}): readonly ServingEffect[] {
 	const {attempt, callId, request} = call;
 	state.calls.delete(callId);
 	releaseReservation(state, call);
@@ -280,6 +282,7 @@
 			attempts: call.attemptCount,
 			tookMs: Math.round(nowMs - call.arrivedAtMs),
 			beganMs: call.firstByteAtMs === undefined ? undefined : Math.round(call.firstByteAtMs - call.arrivedAtMs),
+			...answer,
 			plan: call.placementDetail,
 			...(call.measurements.length > 0 && {measured: call.measurements}),
 		},
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,4 +1,5 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
+import {type AnswerFraming} from '../request/answerFraming.js';
 import {type ReportedAllotment} from '../allotments/createAllotments.js';
 import {type ReportedLimit} from '../limits/targetLimit.js';
 import {type ReportedSpeed} from '../placement/reportedSpeed.js';
@@ -171,6 +172,10 @@
 			readonly hasRun: boolean;
 			readonly wallMs: number;
 			readonly detail: string;
+			/** Undefined if no answer came. */
+			readonly framing?: AnswerFraming | undefined;
+			/** Last event that the caller has; undefined outside of streams. */
+			readonly lastEventId?: string | undefined;
 		}>
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
 		/** The store has confirmed that no registration of a target has changed. */
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -105,6 +105,10 @@
 						});
 					},
 					onEnded(attemptEnd) {
+						if (attemptEnd.framing !== undefined) {
+							metrics.count(`answers{framing="${attemptEnd.framing}"}`);
+						}
+
 						if (attemptEnd.result === ATTEMPT_RESULTS.answered) {
 							handle.body = Buffer.alloc(0);
 							handle.held.bodyBytes = 0;
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,7 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	ANSWER_USES, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type TargetNotice,
+	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS,
+	type SendServingAttempt, type SentForm, type TargetNotice,
 } from '@damaskspool/core';
 import {type DeploymentPorts, type ResponseHead, type ResponseHeaders} from '@damaskspool/runtime';
 import {type CallHandle} from './callHandle.js';
@@ -16,6 +17,9 @@
 	/** Whether the target ran the request, as far as its response shows. */
 	readonly hasRun: boolean;
 	readonly detail: string;
+	/** Undefined if no answer came. */
+	readonly framing: AnswerFraming | undefined;
+	readonly lastEventId: string | undefined;
 };
 
 /** Options of {@link runAttempt}. */
@@ -49,6 +53,8 @@
 };
 
 const EVENT_STREAM = 'text/event-stream';
+/** Statuses whose answers have no body, also without a length. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
 /** Bytes of a body that are read after the attempt has ended, so that the connection can be reused. */
@@ -67,7 +73,7 @@
 	let isFinished = false;
 	let isSent = false;
 	let hasBegun = false;
-	let isDelimited = true;
+	let framing: AnswerFraming | undefined;
 	let discardedBytes = 0;
 	let sink: BodySink | undefined;
 
@@ -85,7 +91,7 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail,
+			result, isResponseStarted: response.headersSent, hasRun, detail, framing, lastEventId: handle.lastEventId,
 		});
 	};
 
@@ -196,7 +202,7 @@
 				}
 
 				// A target that crashes may close its connections like one that has sent everything. A resumed stream may have nothing left.
-				if (!isDelimited && !hasBegun && handle.lastEventId === undefined) {
+				if (framing === ANSWER_FRAMINGS.connection && !hasBegun && handle.lastEventId === undefined) {
 					finish(ATTEMPT_RESULTS.unknown, 'the stream ended with its connection before its first event');
 					return;
 				}
@@ -309,7 +315,7 @@
 			}
 
 			onProgress();
-			isDelimited = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+			framing = findFraming(status, headers);
 			receiveHead(status, headers, isFirstAnswer);
 		},
 		onResponseData(started, chunk) {
@@ -328,7 +334,7 @@
 				return;
 			}
 
-			if (!isDelimited && isHandlingReset()) {
+			if (framing === ANSWER_FRAMINGS.connection && isHandlingReset()) {
 				finish(ATTEMPT_RESULTS.unknown, 'the connection was reset before the response completed');
 				return;
 			}
@@ -345,3 +351,11 @@
 		controller?.abort(new Error('the attempt was cancelled'));
 	};
 }
+
+function findFraming(status: number, headers: ResponseHeaders): AnswerFraming {
+	if (headers['transfer-encoding'] !== undefined) {
+		return ANSWER_FRAMINGS.chunked;
+	}
+
+	return headers['content-length'] === undefined && !BODILESS_STATUSES.has(status) ? ANSWER_FRAMINGS.connection : ANSWER_FRAMINGS.length;
+}
