Take an event only by the plain spelling of its number

Cause: identifiers were compared as numbers, and more than one text stands for a number. Only the text that a counter writes counts now. The number that a caller names in Last-Event-Id is still read leniently, since only the events behind it matter.

--- a/packages/core/src/request/eventOrder.ts
+++ b/packages/core/src/request/eventOrder.ts
@@ -5,8 +5,11 @@
 
 /** Highest identifier of the first event of a stream. Streams begin at 0 or 1. */
 const MAX_FIRST_ID = 1;
-/** Identifier that counts as a number. Longer ones are not represented exactly. */
-const NUMBER = /^\d{1,15}$/v;
+/** Identifier that counts as a number. There is one spelling of each, and longer ones are not represented exactly. */
+const EVENT_NUMBER = /^(?:0|[1-9]\d{0,14})$/v;
+
+/** A caller may write the number of its last event in other ways. */
+const CALLER_NUMBER = /^\d{1,15}$/v;
 
 /**
  * Parses the identifier of an event.
@@ -14,7 +17,7 @@
  * @returns undefined if it is not a number
  */
 export function parseEventNumber(eventId: string): number | undefined {
-	return NUMBER.test(eventId) ? Number(eventId) : undefined;
+	return EVENT_NUMBER.test(eventId) ? Number(eventId) : undefined;
 }
 
 /**
@@ -27,6 +30,5 @@
 		return eventNumber <= MAX_FIRST_ID;
 	}
 
-	const lastNumber = parseEventNumber(lastEventId);
-	return lastNumber === undefined || eventNumber === lastNumber + 1;
+	return !CALLER_NUMBER.test(lastEventId) || eventNumber === Number(lastEventId) + 1;
 }
