Hand a caller that takes its stream up nothing but the rest of it

A caller that came back with Last-Event-Id got any success of the next target as the rest of its stream: a JSON body, a 204, events with status 201 (ORDER).

Cause: what may follow was decided by what the entry had sent in this response. A caller that takes a stream up has its first part from an earlier response, so nothing counted as sent. decideAnswerUse is told of it now: a success that is no stream of events fails the attempt, and the stream goes on elsewhere or the caller is told 502. Failures are still forwarded with their status.

The property of answerUse.test.ts is new.

--- a/packages/core/src/request/__tests__/answerUse.test.ts
+++ b/packages/core/src/request/__tests__/answerUse.test.ts
@@ -10,6 +10,7 @@
 	isSigned: fc.boolean(),
 	isEventStream: fc.boolean(),
 	sentForm: fc.constantFrom(...Object.values(SENT_FORMS)),
+	isTakeUp: fc.boolean(),
 });
 
 describe('an answer of a target', () => {
@@ -30,10 +31,18 @@
 		}), {seed: SEED});
 	});
 
+	it('is a success for a caller that takes up a stream only as events', () => {
+		fc.assert(fc.property(factsArbitrary, facts => {
+			const use = decideAnswerUse({...facts, isTakeUp: true});
+			assert.ok(use !== ANSWER_USES.forwardBody || facts.status >= 300);
+			assert.ok(use !== ANSWER_USES.forwardEvents || (facts.status === 200 && facts.isEventStream));
+		}), {seed: SEED});
+	});
+
 	it('is forwarded with its status below 500 to a caller that has nothing', () => {
 		for (const status of [200, 204, 302, 404]) {
 			const facts = {
-				status, isSigned: true, isEventStream: false, sentForm: SENT_FORMS.nothing,
+				status, isSigned: true, isEventStream: false, sentForm: SENT_FORMS.nothing, isTakeUp: false,
 			};
 			assert.equal(decideAnswerUse(facts), ANSWER_USES.forwardBody);
 		}
--- a/packages/core/src/request/answerUse.ts
+++ b/packages/core/src/request/answerUse.ts
@@ -1,6 +1,6 @@
 /**
- * Decides what becomes of an answer of a target. The caller of a request may already have part of an answer from an
- * earlier attempt. Only the remaining events of a stream may follow that part.
+ * Decides what becomes of an answer of a target. The caller may already have part of an answer, from an earlier attempt or
+ * from an earlier request whose stream it takes up. Only the remaining events of a stream may follow that part.
  */
 
 /** What a caller has received of an answer. */
@@ -23,6 +23,8 @@
 	failAttempt: 'failAttempt',
 	/** The answer proves nothing about the request. */
 	reject: 'reject',
+	/** The answer is a success, but not the rest of the stream that the caller takes up. A caller would take it for that. */
+	rejectOther: 'rejectOther',
 } as const;
 
 /** Value of {@link ANSWER_USES}. */
@@ -36,9 +38,13 @@
 	/** Whether the body is declared as a stream of events. */
 	readonly isEventStream: boolean;
 	readonly sentForm: SentForm;
+	/** Whether the caller has events of the stream from an earlier request. */
+	readonly isTakeUp: boolean;
 };
 
 const STATUS_OK = 200;
+/** Lowest status that is no success. */
+const MIN_OTHER_STATUS = 300;
 /** Lowest status that stands for a failure of the target. */
 const MIN_FAILURE_STATUS = 500;
 /** Statuses below {@link MIN_FAILURE_STATUS} with which a target refuses a request. */
@@ -47,7 +53,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([...REFUSING_STATUSES, 503]);
 
 /** Decides what becomes of an answer by its head. */
-export function decideAnswerUse({status, isSigned, isEventStream, sentForm}: AnswerFacts): AnswerUse {
+export function decideAnswerUse({status, isSigned, isEventStream, sentForm, isTakeUp}: AnswerFacts): AnswerUse {
 	if (status >= MIN_FAILURE_STATUS || REFUSING_STATUSES.has(status)) {
 		return ANSWER_USES.failAttempt;
 	}
@@ -58,7 +64,11 @@
 
 	const isStream = isEventStream && status === STATUS_OK;
 	if (sentForm === SENT_FORMS.nothing) {
-		return isStream ? ANSWER_USES.forwardEvents : ANSWER_USES.forwardBody;
+		if (isStream) {
+			return ANSWER_USES.forwardEvents;
+		}
+
+		return isTakeUp && status < MIN_OTHER_STATUS ? ANSWER_USES.rejectOther : ANSWER_USES.forwardBody;
 	}
 
 	return isStream && sentForm === SENT_FORMS.events ? ANSWER_USES.forwardEvents : ANSWER_USES.failAttempt;
--- a/packages/core/src/request/eventOrder.ts
+++ b/packages/core/src/request/eventOrder.ts
@@ -7,7 +7,6 @@
 const MAX_FIRST_ID = 1;
 /** Identifier that counts as a number. There is one spelling of each, and longer ones are not represented exactly. */
 const EVENT_NUMBER = /^(?:0|[1-9]\d{0,14})$/v;
-
 /** A caller may write the number of its last event in other ways. */
 const CALLER_NUMBER = /^\d{1,15}$/v;
 
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -70,6 +70,8 @@
 	/** Address of the target from which the KV cache of shared parts is fetched. */
 	readonly fetchAddress: string | undefined;
 	readonly isResumable: boolean;
+	/** Whether the caller takes up a stream and has events of it. */
+	readonly isTakeUp: boolean;
 };
 
 /** Ends a call with an error response of the entry. */
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -55,6 +55,11 @@
 const EVENT_STREAM = 'text/event-stream';
 /** Statuses whose answers have no body, also without a length. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** Why an answer is not read. */
+const REJECTIONS = {
+	[ANSWER_USES.reject]: 'the response is not signed',
+	[ANSWER_USES.rejectOther]: 'the response is not the rest of the stream',
+} as const;
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
 /** Bytes of a body that are read after the attempt has ended, so that the connection can be reused. */
@@ -250,22 +255,22 @@
 		};
 	};
 
-	/** Creates the sink for each use of an answer. A rejected one is not read. */
-	const sinkCreators: Readonly<Record<Exclude<AnswerUse, 'reject'>, (status: number, head: ResponseHead) => BodySink>> = {
+	/** Creates the sink for each use of an answer that is read. */
+	const sinkCreators: Readonly<Record<Exclude<AnswerUse, keyof typeof REJECTIONS>, (status: number, head: ResponseHead) => BodySink>> = {
 		[ANSWER_USES.forwardEvents]: createStreamSink,
 		[ANSWER_USES.forwardBody]: createBufferingSink,
 		[ANSWER_USES.failAttempt]: createFailureSink,
 	};
 
-	const pickSink = (status: number, head: ResponseHead, headers: ResponseHeaders): BodySink | undefined => {
+	const pickSink = (status: number, head: ResponseHead, headers: ResponseHeaders): BodySink | string => {
 		if (attempt.isPrefillOnly) {
 			return createPrefillSink(status);
 		}
 
 		const use = decideAnswerUse({
-			status, isSigned: head.isSigned, isEventStream: String(headers['content-type']).startsWith(EVENT_STREAM), sentForm: handle.sentForm,
+			status, isSigned: head.isSigned, isEventStream: String(headers['content-type']).startsWith(EVENT_STREAM), sentForm: handle.sentForm, isTakeUp: attempt.isTakeUp,
 		});
-		return use === ANSWER_USES.reject ? undefined : sinkCreators[use](status, head);
+		return use === ANSWER_USES.reject || use === ANSWER_USES.rejectOther ? REJECTIONS[use] : sinkCreators[use](status, head);
 	};
 
 	const receiveHead = (status: number, headers: ResponseHeaders, isFirstAnswer: boolean) => {
@@ -284,9 +289,11 @@
 			return;
 		}
 
-		sink = pickSink(status, head, headers);
-		if (sink === undefined) {
-			fail('the response is not signed');
+		const picked = pickSink(status, head, headers);
+		if (typeof picked === 'string') {
+			fail(picked);
+		} else {
+			sink = picked;
 		}
 	};
 
