Take the end of a connection for the end of an answer only where nothing speaks against it

Callers got streams that ended as complete before their last event: a target that was asked for the rest of a stream sent a head without a length and closed. Plain bodies without a length were cut short in the same way.

Cause: an answer without a length counted as whole when its connection was closed and as broken when it was reset. A process that is killed closes its connections, so that difference proves nothing. An empty rest was even taken for "nothing is left".

- An answer without a length is whole only if its target still accepts connections.
- A stream that ends with its connection without an event is never whole.
- A resumable stream of a service whose streams have lengths or chunks goes on at another target when a connection ends between events, which then tells what is left.
Only if no target can be asked does the close count, as for every other answer without a length.

--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -12,7 +12,7 @@
 import {
 	type AttemptPlan, DEFAULT_RETRY_AFTER_MS, type KvCacheHandle, NO_QUEUED_WORK, planAttempt, planHandover, type Refusal,
 } from './planAttempt.js';
-import {isResumption} from './streamContinuity.js';
+import {hasEarlierEvents} from './streamContinuity.js';
 import {ATTEMPT_RESULTS, type AttemptResult, type ServingEffect} from './servingMessages.js';
 import {type CallAttempt, type ServingCall, type ServingState} from './servingState.js';
 
@@ -107,7 +107,8 @@
 			handle: plan.handle,
 			fetchAddress: plan.cacheSource?.record.address,
 			isResumable: call.route.isResumable,
-			isTakeUp: isResumption(call.request, call.route) && call.request.resumes?.lastEventId !== undefined,
+			isTakeUp: hasEarlierEvents(call),
+			isCloseDoubtful: call.route.isResumable && state.servicesWithDelimitedStreams.has(call.serviceId),
 		},
 		{
 			type: 'decision.record',
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -1,6 +1,7 @@
 import {ERROR_CODES, type ErrorCode, OUTCOMES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {listServiceTargets} from '../placement/placementState.js';
+import {ANSWER_FRAMINGS} from '../request/answerFraming.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
 import {
 	recordFirstBytes, countUsage, endAttempt, planNextAttempt, createRefusal, releaseHandover, releaseReservation,
@@ -180,12 +181,17 @@
 
 /** Handlers of the end of an attempt, by its result. */
 const attemptEndHandlers: Readonly<Record<AttemptEnded['result'], AttemptEndHandler>> = {
-	answered(state, call, {nowMs, framing, lastEventId}) {
-		const {request} = call;
+	answered(state, call, event) {
+		const {request, route, serviceId} = call;
+		const {nowMs, framing} = event;
+		if (route.kind === ROUTE_KINDS.stream && framing !== undefined && framing !== ANSWER_FRAMINGS.connection) {
+			state.servicesWithDelimitedStreams.add(serviceId);
+		}
+
 		state.poisonRequests.recordAnswer(request.fingerprint);
 		const decisions = state.poisonParts.recordAnswer(listSharedPartIds(request), nowMs);
 		advanceRequest(call, {type: 'finish'});
-		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered', answer: {framing, lastEventId}})];
+		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered', answer: event})];
 	},
 	notRun(state, call, event) {
 		return retryNotRun(state, call, event);
@@ -210,6 +216,21 @@
 			createRefusal(call, ERROR_CODES.targetFailed, OUTCOMES.refusedUnknown),
 		];
 	},
+	closed(state, call, event) {
+		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
+		advanceRequest(call, {type: 'failUnknown'});
+		const confirmation = planNextAttempt(state, call, event.nowMs);
+		if (confirmation.some(({type}) => type === 'attempt.send')) {
+			return [createAttemptRecord(call, 'closed', event), ...confirmation];
+		}
+
+		// No target can be asked what is left, so the end of the connection counts as the end of the stream, as in other answers.
+		return [
+			createAttemptRecord(call, 'closed', event),
+			...endCall(state, call, {nowMs: event.nowMs, outcome: 'answered', answer: event}),
+			{type: 'call.complete', callId: call.callId},
+		];
+	},
 	failed(state, call, event) {
 		const {callId} = call;
 		const {nowMs, attemptId, isResponseStarted} = event;
@@ -282,7 +303,8 @@
 			attempts: call.attemptCount,
 			tookMs: Math.round(nowMs - call.arrivedAtMs),
 			beganMs: call.firstByteAtMs === undefined ? undefined : Math.round(call.firstByteAtMs - call.arrivedAtMs),
-			...answer,
+			framing: answer?.framing,
+			lastEventId: answer?.lastEventId,
 			plan: call.placementDetail,
 			...(call.measurements.length > 0 && {measured: call.measurements}),
 		},
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -43,6 +43,8 @@
 	unreached: 'unreached',
 	/** The request was at least partly sent, and nothing proves that it did not run. */
 	unknown: 'unknown',
+	/** The target closed the connection between two events of a stream, so that nothing proves whether it has sent the last one. */
+	closed: 'closed',
 	/** The target responded with an error, and no part of that response was forwarded yet. */
 	failed: 'failed',
 	/** The entry cancelled the attempt. */
@@ -72,6 +74,8 @@
 	readonly isResumable: boolean;
 	/** Whether the caller takes up a stream and has events of it. */
 	readonly isTakeUp: boolean;
+	/** Whether the end of a connection between events is no proof of the stream's end, and another target can tell what is left. */
+	readonly isCloseDoubtful: boolean;
 };
 
 /** Ends a call with an error response of the entry. */
@@ -90,6 +94,8 @@
 		| {readonly type: 'attempt.cancel'; readonly callId: number; readonly attemptId: number}
 		/** Forwards the error response of a target, which the attempt has buffered. */
 		| {readonly type: 'attempt.forward'; readonly callId: number; readonly attemptId: number}
+		/** Ends a stream as complete. The caller has all of its events. */
+		| {readonly type: 'call.complete'; readonly callId: number}
 		/** Starts the timer of a call's timeout. */
 		| {readonly type: 'call.startTimeout'; readonly callId: number; readonly afterMs: number}
 		/** Checks whether a target accepts connections. */
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -121,6 +121,8 @@
 	readonly partHistory: PartHistory;
 	readonly serviceVersions: ServiceVersions;
 	readonly streamVersions: StreamVersions;
+	/** Services whose targets have ended a stream by its length or its last chunk, so that they need no end of a connection for it. */
+	readonly servicesWithDelimitedStreams: Set<string>;
 	readonly versionHistory: VersionHistory;
 	/** Requests that take up a stream, held until the store has told which versions serve, by call. */
 	readonly takeUps: Map<number, CallArrived>;
@@ -208,6 +210,7 @@
 		poisonParts: createPoisonPartTracker(),
 		partHistory: createPartHistory(options.hasPartHistory ?? false),
 		serviceVersions: createServiceVersions(),
+		servicesWithDelimitedStreams: new Set(),
 		streamVersions: createStreamVersions(),
 		versionHistory: createVersionHistory(options.hasVersionHistory ?? false),
 		takeUps: new Map(),
--- a/packages/core/src/serving/streamContinuity.ts
+++ b/packages/core/src/serving/streamContinuity.ts
@@ -22,6 +22,11 @@
 	return kind === ROUTE_KINDS.stream && resumes !== undefined;
 }
 
+/** Returns whether the caller of a request has events of its stream from an earlier request. */
+export function hasEarlierEvents({request, route}: Pick<ServingCall, 'request' | 'route'>): boolean {
+	return isResumption(request, route) && request.resumes?.lastEventId !== undefined;
+}
+
 /** Returns the identifier of the request that began, or will begin, the stream of a request. */
 export function toStreamRequestId({requestId, resumes}: CallRequest): string {
 	return resumes?.requestId ?? requestId;
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -33,7 +33,10 @@
 
 /** Registry of calls in progress, with the handlers of their effects. */
 export type CallEffects = {
-	readonly handlers: Pick<EffectHandlers<ServingEffect>, 'attempt.cancel' | 'attempt.forward' | 'attempt.send' | 'call.startTimeout' | 'call.refuse' | 'handle.free' | 'target.probe'>;
+	readonly handlers: Pick<
+		EffectHandlers<ServingEffect>,
+		'attempt.cancel' | 'attempt.forward' | 'attempt.send' | 'call.complete' | 'call.startTimeout' | 'call.refuse' | 'handle.free' | 'target.probe'
+	>;
 	readonly add: (handle: CallHandle) => void;
 	/** Removes a call and clears its timeout; does nothing for an unknown call. */
 	readonly end: (callId: number) => void;
@@ -86,6 +89,7 @@
 					onProgress: pools.recordProgress,
 					recordAnswer: pools.recordAnswer,
 					isPaused: () => isPaused(target.targetId),
+					isTargetListening: async () => probeTarget(target.address, {delayMs: 0}),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
 						if (notice.isLeaving || notice.pauseMs > 0 || tellsLimit || notice.load?.workTimeFactor !== undefined) {
@@ -135,6 +139,10 @@
 
 				end(callId);
 			},
+			'call.complete'({callId}) {
+				handles.get(callId)?.response.end();
+				end(callId);
+			},
 			'call.startTimeout'({callId, afterMs}) {
 				timers.set(callId, setTimeout(() => {
 					dispatch({type: 'call.expired', callId});
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -33,6 +33,8 @@
 	readonly isHandlingReset: () => boolean;
 	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
 	readonly isPaused: () => boolean;
+	/** Checks whether the target accepts connections; undefined if that is not known. */
+	readonly isTargetListening: () => Promise<boolean | undefined>;
 	/** Called when bytes of the connection were part of a response. */
 	readonly onProgress: () => void;
 	/** Records the head of an answer. Returns whether it is the first of its connection. */
@@ -72,7 +74,7 @@
  * @returns a function that cancels the attempt; no callback of `options` is called after that
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, onProgress, recordAnswer, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
+	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, onProgress, recordAnswer, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
@@ -206,9 +208,13 @@
 					return;
 				}
 
-				// A target that crashes may close its connections like one that has sent everything. A resumed stream may have nothing left.
-				if (framing === ANSWER_FRAMINGS.connection && !hasBegun && handle.lastEventId === undefined) {
-					finish(ATTEMPT_RESULTS.unknown, 'the stream ended with its connection before its first event');
+				if (framing === ANSWER_FRAMINGS.connection && !hasBegun) {
+					finish(ATTEMPT_RESULTS.unknown, 'the stream ended with its connection before an event');
+					return;
+				}
+
+				if (framing === ANSWER_FRAMINGS.connection && attempt.isCloseDoubtful) {
+					finish(ATTEMPT_RESULTS.closed, 'the stream ended with its connection between events');
 					return;
 				}
 
@@ -297,6 +303,20 @@
 		}
 	};
 
+	/** Ends a response that ended with its connection. A target whose process has ended closes its connections as well. */
+	const endClosedResponse = async () => {
+		const isListening = await isTargetListening();
+		if (isFinished) {
+			return;
+		}
+
+		if (isListening === false) {
+			finish(ATTEMPT_RESULTS.unknown, 'the target ended with the connection of its response');
+		} else {
+			sink?.end();
+		}
+	};
+
 	response.on('drain', resume);
 	pool.dispatch({
 		path: handle.request.call.path,
@@ -341,12 +361,13 @@
 				return;
 			}
 
-			if (framing === ANSWER_FRAMINGS.connection && isHandlingReset()) {
+			if (framing !== ANSWER_FRAMINGS.connection) {
+				sink?.end();
+			} else if (isHandlingReset()) {
 				finish(ATTEMPT_RESULTS.unknown, 'the connection was reset before the response completed');
-				return;
+			} else {
+				void endClosedResponse();
 			}
-
-			sink?.end();
 		},
 		onResponseError(_started, error) {
 			finish(isSent ? ATTEMPT_RESULTS.unknown : ATTEMPT_RESULTS.unreached, (error as NodeJS.ErrnoException).code ?? error.message);
