Take no call in a stop that may outlast the entry

In a planned stop, requests that came late on kept connections were passed on and cut off without an answer at the end of the grace, among them requests that may run once (LOST).

Cause: three decisions rested on something else than the time that is left. - A call was taken whatever its timeout. The reducer now takes one only if its timeout ends before the entry ends the rest; others are refused at once, as not run, and can go elsewhere. Calls that wait for the store are checked again when their wait is over. - A connection whose answer began before the stop stayed open, since the head could not announce the end. Requests count from their head to the last byte of their answer now. The server's own count of idle connections includes answers that are written and not read yet. Calls from before the stop that outlast it are answered 502, or 503 where no target ran them, unless part of an answer was sent.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,6 +45,7 @@
 export * from './reducer/sidecarState.js';
 export * from './request/admitRequest.js';
 export * from './request/answerFraming.js';
+export {LEAVING_RETRY_AFTER_MS} from './serving/refuseArrival.js';
 export * from './request/answerUse.js';
 export * from './request/eventOrder.js';
 export * from './request/requestHandlers.js';
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -11,6 +11,7 @@
 import {
 	findStreamVersion, isResumption, recordStreamVersion, toStreamRequestId,
 } from './streamContinuity.js';
+import {endCall} from './endCall.js';
 import {refuseArrival} from './refuseArrival.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
@@ -19,6 +20,7 @@
 import {ROUTE_KINDS, type RouteRecord, type ServingConfiguration} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 import {recordAttemptSpeed} from './speedUpdates.js';
+import {mayEndInTime} from './stopHandlers.js';
 import {type CallArrived, holdTakeUp, mayConfirmVersion} from './streamTakeUps.js';
 
 /** Handlers of the events of a call, from its arrival to its end. */
@@ -127,6 +129,11 @@
 	}
 
 	const {route, serviceId, customerId, streamVersion} = resolved;
+	const timeoutAtMs = nowMs - waitedMs + Math.min(request.deadlineMs, route.timeoutMs);
+	if (!mayEndInTime(state, timeoutAtMs)) {
+		return refuseArrival(state, event, ERROR_CODES.leaving);
+	}
+
 	const charge = takeCharge(state, {customerId, prompt: request.prompt}, nowMs);
 	if (!charge.isAdmitted) {
 		return [{
@@ -148,7 +155,7 @@
 		arrivedAtMs: nowMs - waitedMs,
 		spentBeforeArrivalMs: recordDeadline(state, route, request),
 		deadlineAtMs: nowMs - waitedMs + request.deadlineMs,
-		timeoutAtMs: nowMs - waitedMs + Math.min(request.deadlineMs, route.timeoutMs),
+		timeoutAtMs,
 		snapshot: createRequestSnapshot(isRetryable),
 		attempt: undefined,
 		attemptCount: 0,
@@ -287,36 +294,6 @@
 	};
 }
 
-function endCall(state: ServingState, call: ServingCall, {nowMs, outcome, answer}: {nowMs: number; outcome: string; answer?: Pick<AttemptEnded, 'framing' | 'lastEventId'>}): readonly ServingEffect[] {
-	const {attempt, callId, request} = call;
-	state.calls.delete(callId);
-	releaseReservation(state, call);
-	releaseHandover(call);
-	const effects: ServingEffect[] = [{
-		type: 'decision.record',
-		name: 'call.ended',
-		subject: request.requestId,
-		detail: {
-			outcome,
-			route: call.route.name,
-			target: attempt?.target.record.targetId,
-			attempts: call.attemptCount,
-			tookMs: Math.round(nowMs - call.arrivedAtMs),
-			beganMs: call.firstByteAtMs === undefined ? undefined : Math.round(call.firstByteAtMs - call.arrivedAtMs),
-			framing: answer?.framing,
-			lastEventId: answer?.lastEventId,
-			plan: call.placementDetail,
-			...(call.measurements.length > 0 && {measured: call.measurements}),
-		},
-	}];
-	if (attempt !== undefined && !attempt.isEnded) {
-		endAttempt(state, call, {result: 'cancelled', nowMs});
-		effects.push({type: 'attempt.cancel', callId, attemptId: attempt.attemptId});
-	}
-
-	return [...effects, {type: 'work.report'}];
-}
-
 /**
  * Records the longest deadline seen on a route, and estimates how much time the
  * caller spent on the same request before. The estimate is zero unless the
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -160,10 +160,6 @@
 
 		return effects;
 	},
-	'stop.requested'(state, {signal}) {
-		state.isStopping = true;
-		return [createEntryRecord(state, 'entry.stopping', {signal, calls: state.calls.size})];
-	},
 };
 
 function toWorkByTarget({work, heldTokens}: PeerReport): Map<string, TargetWork> {
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -212,4 +212,6 @@
 		| Timed<'parts.readEnded', {readonly result: {readonly kind: 'read'; readonly version: number; readonly stored: StoredParts | undefined} | {readonly kind: 'failed'}}>
 		| Timed<'parts.writeEnded', {readonly result: {readonly kind: 'written'; readonly version: number; readonly stored: StoredParts} | {readonly kind: 'conflict' | 'unknown'}}>
 		| Timed<'tick', {readonly wallMs: number}>
-		| Timed<'stop.requested', {readonly signal: string}>;
+		/** `endsAtMs` is the time at which calls that are not over are ended. */
+		| Timed<'stop.requested', {readonly signal: string; readonly endsAtMs: number}>
+		| Timed<'stop.graceEnded', object>;
--- a/packages/core/src/serving/servingReducer.ts
+++ b/packages/core/src/serving/servingReducer.ts
@@ -12,6 +12,7 @@
 import {unresponsiveTargetHandlers} from './unresponsiveTargetHandlers.js';
 import {speedHandlers} from './speedUpdates.js';
 import {stageHandlers} from './stageHandlers.js';
+import {stopHandlers} from './stopHandlers.js';
 import {takeUpHandlers} from './takeUpHandlers.js';
 import {versionHistoryHandlers} from './versionHistoryHandlers.js';
 
@@ -29,6 +30,7 @@
 		leaseHandlers,
 		requestUsageHandlers,
 		stageHandlers,
+		stopHandlers,
 		speedHandlers,
 		evennessHandlers,
 	],
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -98,6 +98,8 @@
 	readonly processId: string;
 	readonly availabilityZone: string;
 	isStopping: boolean;
+	/** Time at which a stop that was requested ends the calls that are not over. */
+	stopEndsAtMs: number | undefined;
 	configuration: ServingConfiguration | undefined;
 	hasTargets: boolean;
 	/** Latest era of the metadata store; zero until a reply states one. */
@@ -190,6 +192,7 @@
 		processId,
 		availabilityZone,
 		isStopping: false,
+		stopEndsAtMs: undefined,
 		configuration: undefined,
 		hasTargets: false,
 		storeEra: 0,
--- a/packages/core/src/serving/takeUpHandlers.ts
+++ b/packages/core/src/serving/takeUpHandlers.ts
@@ -27,6 +27,7 @@
 		takeUps.delete(callId);
 		return [];
 	},
+	'stop.graceEnded': (state, {nowMs}) => refuseHeld(state, takeHeld(state, nowMs)),
 	tick: (state, {nowMs}) => [...refuseHeld(state, takeHeld(state, nowMs - MAX_HOLD_MS)), ...readForTakeUps(state, nowMs)],
 };
 
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -3,11 +3,14 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type CallerLimits, type CallRequest, SENT_FORMS} from '@damaskspool/core';
+import {
+	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS,
+} from '@damaskspool/core';
 import {type DeploymentPorts} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
+import {type ConnectionTracker} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {writeRefusal} from './writeRefusal.js';
 
@@ -17,6 +20,7 @@
 	readonly findLimits: () => CallerLimits | undefined;
 	readonly isStopping: () => boolean;
 	readonly arrivalMonitor: ArrivalMonitor;
+	readonly connections: ConnectionTracker;
 	readonly memoryLedger: MemoryLedger;
 	/** Called with a complete request; `waitedMs` is the time since its head arrived. */
 	readonly onCall: (handle: CallHandle, call: CallRequest, waitedMs: number) => void;
@@ -46,6 +50,8 @@
 	readonly server: Server;
 	/** Applies the timeouts of a new configuration. */
 	readonly applyLimits: (limits: CallerLimits) => void;
+	/** Refuses the requests whose bodies are still being read. */
+	readonly refuseReading: () => void;
 };
 
 /**
@@ -54,10 +60,13 @@
  * @returns the server, not listening yet
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {ports, findLimits, isStopping, arrivalMonitor, memoryLedger, onCall, onOverloaded, onBodyRefused, onDisconnected} = options;
+	const {ports, findLimits, isStopping, arrivalMonitor, connections, memoryLedger, onCall, onOverloaded, onBodyRefused, onDisconnected} = options;
 	let lastCallId = 0;
+	/** Responses to requests whose bodies are being read. */
+	const reading = new Set<ServerResponse>();
 
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
+		connections.recordRequest(response, incoming.socket);
 		// The longest time that a request may have waited is mostly more than it did, so a lag that is common at work is not counted.
 		const unreadMs = Math.max(0, arrivalMonitor.measureUnreadMs(incoming.socket) - MAX_EVENT_LOOP_LAG_MS);
 		const arrivedAtMs = performance.now() - unreadMs;
@@ -75,6 +84,10 @@
 		const held = memoryLedger.add({callId, requestId: request.call.requestId, response});
 		const chunks: Buffer[] = [];
 		let bytes = 0;
+		reading.add(response);
+		response.on('close', () => {
+			reading.delete(response);
+		});
 		incoming.on('data', (chunk: Buffer) => {
 			bytes += chunk.length;
 			held.bodyBytes = bytes;
@@ -93,6 +106,7 @@
 			chunks.push(chunk);
 		});
 		incoming.on('end', () => {
+			reading.delete(response);
 			if (response.writableEnded || response.destroyed) {
 				return;
 			}
@@ -141,9 +155,17 @@
 		requestTimeout: 0,
 		noDelay: true,
 	}, receive);
-	server.on('connection', arrivalMonitor.recordConnection);
+	server.on('connection', socket => {
+		connections.recordConnection(socket);
+		arrivalMonitor.recordConnection(socket);
+	});
 	return {
 		server,
+		refuseReading() {
+			for (const response of reading) {
+				refuseUnread(response, ports, createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS}));
+			}
+		},
 		applyLimits({idleTimeoutMs, headerTimeoutMs}) {
 			server.keepAliveTimeout = idleTimeoutMs;
 			server.headersTimeout = Math.max(headerTimeoutMs, INITIAL_LIMITS.headerTimeoutMs);
@@ -152,9 +174,9 @@
 }
 
 /** Refuses a request whose body is not kept, and closes its connection. No target knows the request. */
-export function refuseUnread(response: ServerResponse, ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>): void {
+export function refuseUnread(response: ServerResponse, ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>, failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})): void {
 	response.shouldKeepAlive = false;
-	writeRefusal({response, ports, failure: createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})});
+	writeRefusal({response, ports, failure});
 	response.req.removeAllListeners('data').resume();
 }
 
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -9,16 +9,17 @@
 } from '@damaskspool/runtime';
 import {ERROR_CODES} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
-import {stopServer} from '../stopServer.js';
 import {createArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer, refuseUnread} from './createCallerServer.js';
+import {createConnectionTracker} from './createConnectionTracker.js';
 import {createDutyEffects} from './createDutyEffects.js';
 import {createPartEffects} from './createPartEffects.js';
 import {createVersionEffects} from './createVersionEffects.js';
 import {createPeerDirectory, type PeerAddress} from './createPeerDirectory.js';
 import {createPeerLink} from './createPeerLink.js';
 import {createPeerReporting} from './createPeerReporting.js';
+import {drainCallers} from './drainCallers.js';
 import {startStoreWatches} from './startStoreWatches.js';
 import {updateEvennessMetrics} from './updateEvennessMetrics.js';
 import {createMemoryLedger} from './createMemoryLedger.js';
@@ -97,6 +98,7 @@
 		},
 	});
 	const pools = createTargetPools();
+	const connections = createConnectionTracker();
 	let isStopped = false;
 	/** Whether this entry has been ready since its start. */
 	let wasReady = false;
@@ -217,6 +219,7 @@
 		findLimits: () => state.configuration?.limits,
 		isStopping: () => state.isStopping,
 		arrivalMonitor,
+		connections,
 		memoryLedger,
 		onCall(handle, request, waitedMs) {
 			const {callId} = handle;
@@ -300,12 +303,22 @@
 	return {
 		addresses: {callers: settings.callerAddress, readiness: settings.readinessAddress},
 		async stop(signal) {
-			loop.dispatch({type: 'stop.requested', signal});
-			const drainEndAtMs = performance.now() + settings.graceMs - SHUTDOWN_RESERVE_MS;
+			const endsAtMs = performance.now() + settings.graceMs - SHUTDOWN_RESERVE_MS;
+			loop.dispatch({type: 'stop.requested', signal, endsAtMs});
+			connections.beginStop();
 			await new Promise(resolve => {
 				setTimeout(resolve, READINESS_DRAIN_MS);
 			});
-			await stopServer({server: callerServer.server, isBusy: () => state.calls.size + state.takeUps.size > 0, maxWaitMs: Math.max(0, drainEndAtMs - performance.now())});
+			await drainCallers({
+				server: callerServer.server,
+				connections,
+				endsAtMs,
+				onGraceEnded() {
+					logger.warn('stop.graceEnded', {calls: state.calls.size, takeUps: state.takeUps.size, requests: connections.countRequests()});
+					loop.dispatch({type: 'stop.graceEnded'});
+					callerServer.refuseReading();
+				},
+			});
 			peerLink.flush();
 			isStopped = true;
 			clearInterval(tickTimer);
