--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -29,8 +29,8 @@
 	readonly setFault: (fault: ProxyFault) => void;
 	/** Makes the open connections deliver nothing more, without closing them. New connections work. */
 	readonly silenceOpenConnections: () => void;
-	/** Ends like a process that crashes, until {@link resume} is called: resets every open connection and refuses new ones. */
-	readonly crash: () => void;
+	/** Ends like a process that crashes, until {@link resume} is called: resets or closes every open connection and refuses new ones. */
+	readonly crash: (options?: {readonly isReset?: boolean}) => void;
 	/** Listens again at the same address, unless the proxy was closed meanwhile. */
 	readonly resume: () => Promise<void>;
 };
@@ -154,9 +154,13 @@
 				silentSockets.add(socket);
 			}
 		},
-		crash() {
+		crash({isReset = true} = {}) {
 			server.close();
-			resetAll();
+			if (isReset) {
+				resetAll();
+			} else {
+				destroyAll();
+			}
 		},
 		async resume() {
 			if (!isClosed && !server.listening) {
