Believe one refusal of a request on each connection

Cause: a faulty target writes an earlier refusal once more on a kept connection. It was told from the answer that is due by its identifier, and the caller's second request has the same one. The refused requests of each connection are remembered now, the last 64; a second refusal of the same request there proves nothing, and the attempt ends as unknown. An entry itself never sends a request twice to a target that refused it.

--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -88,6 +88,7 @@
 					isHandlingReset: pools.isHandlingReset,
 					onProgress: pools.recordProgress,
 					recordAnswer: pools.recordAnswer,
+					recordRefusal: pools.recordRefusal,
 					isPaused: () => isPaused(target.targetId),
 					isTargetListening: async () => probeTarget(target.address, {delayMs: 0}),
 					onNotice(notice) {
--- a/packages/daemon/src/direct/createProgressGuard.ts
+++ b/packages/daemon/src/direct/createProgressGuard.ts
@@ -9,6 +9,8 @@
 	readonly recordProgress: () => void;
 	/** Records the head of an answer that was just read. Returns whether no other answer came before it on its connection. */
 	readonly recordAnswer: () => boolean;
+	/** Records a refusal that was just read. Returns whether none with the same identifier came before it on its connection. */
+	readonly recordRefusal: (requestId: string) => boolean;
 	/** Destroys a socket once more than the maximum number of its bytes in a row led to no progress. */
 	readonly watchSocket: (socket: Socket) => void;
 };
@@ -16,11 +18,17 @@
 /** Bytes in a row without progress. Several times the largest head of a response that the parser accepts. */
 const MAX_UNPRODUCTIVE_BYTES = 65_536;
 
+/** Refused requests that are remembered for a connection. Callers send a request again within seconds. */
+const MAX_REFUSED_IDS = 64;
+
+/** Answers that were read from a connection. */
+type ConnectionAnswers = {answerCount: number; readonly refusedIds: Set<string>};
+
 /** Creates a guard for the connections of an entry to its targets. */
 export function createProgressGuard(): ProgressGuard {
 	let progressCount = 0;
 	/** Connection whose bytes were read last. The HTTP client parses them before it reads those of another one. */
-	let connectionRead = {answerCount: 0};
+	let connectionRead: ConnectionAnswers = {answerCount: 0, refusedIds: new Set()};
 	return {
 		recordProgress() {
 			progressCount += 1;
@@ -29,8 +37,18 @@
 			connectionRead.answerCount += 1;
 			return connectionRead.answerCount === 1;
 		},
+		recordRefusal(requestId) {
+			const {refusedIds} = connectionRead;
+			const isFirst = !refusedIds.has(requestId);
+			refusedIds.add(requestId);
+			if (refusedIds.size > MAX_REFUSED_IDS) {
+				refusedIds.delete(refusedIds.values().next().value!);
+			}
+
+			return isFirst;
+		},
 		watchSocket(socket) {
-			const connection = {answerCount: 0};
+			const connection: ConnectionAnswers = {answerCount: 0, refusedIds: new Set()};
 			const readSocket = socket.read.bind(socket);
 			let unproductiveBytes = 0;
 			let lastBytes = 0;
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -11,6 +11,8 @@
 	readonly recordProgress: ProgressGuard['recordProgress'];
 	/** Records the head of an answer. Returns whether it is the first of its connection. */
 	readonly recordAnswer: ProgressGuard['recordAnswer'];
+	/** Records a refusal. Returns whether it is the first one of its request on its connection. */
+	readonly recordRefusal: ProgressGuard['recordRefusal'];
 	/** Returns the pool of a target; replaces it if the address, the connection limit or the idle timeout has changed. */
 	readonly resolve: (target: TargetRecord, maxConnections: number) => Dispatcher;
 	/** Records that a connection failed before a response. Targets may be dropping idle connections, so all idle timeouts are shortened for a while. */
@@ -47,6 +49,7 @@
 		isHandlingReset: resetDetector.isHandlingReset,
 		recordProgress: progressGuard.recordProgress,
 		recordAnswer: progressGuard.recordAnswer,
+		recordRefusal: progressGuard.recordRefusal,
 		resolve(target, maxConnections) {
 			const existing = pools.get(target.targetId);
 			const isPlain = target.stage === undefined;
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -39,6 +39,8 @@
 	readonly onProgress: () => void;
 	/** Records the head of an answer. Returns whether it is the first of its connection. */
 	readonly recordAnswer: () => boolean;
+	/** Records a refusal. Returns whether it is the first one of its request on its connection. */
+	readonly recordRefusal: (requestId: string) => boolean;
 	/** Called with what the target says about itself in the head of its response, before the attempt ends. */
 	readonly onNotice: (notice: TargetNotice) => void;
 	readonly onResponseBegan: () => void;
@@ -74,7 +76,7 @@
  * @returns a function that cancels the attempt; no callback of `options` is called after that
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, onProgress, recordAnswer, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
+	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
@@ -284,12 +286,19 @@
 		// A late copy of the answer to an earlier request proves nothing about this one, even if it says "not run", and names no limit that still holds.
 		// Only the first answer of a connection cannot be such a copy.
 		const isOther = head.requestId === undefined ? !isFirstAnswer : head.requestId !== handle.request.call.requestId;
-		onNotice(isOther ? {...head.notice, requestsPerSecond: undefined, load: undefined} : head.notice);
+		// A caller may send a refused request again under its identifier. The refusal may then be that of the earlier request.
+		const isRepeated = !isOther && head.isNotRun && head.requestId !== undefined && !recordRefusal(head.requestId);
+		onNotice(isOther || isRepeated ? {...head.notice, requestsPerSecond: undefined, load: undefined} : head.notice);
 		if (isOther) {
 			fail(head.requestId === undefined ? 'the response does not say to which request it belongs' : 'the response belongs to another request');
 			return;
 		}
 
+		if (isRepeated) {
+			fail('the response repeats an earlier refusal');
+			return;
+		}
+
 		if (head.isNotRun) {
 			finish(ATTEMPT_RESULTS.notRun, `status ${status}`, false);
 			return;
