Bound what reading from a connection costs in objects and processor time

A faulty target that sent a body in chunks of one byte ended the entry within a second, with the calls of all others; other forms held its loop or filled its memory. What is held was counted in bytes of content, while each chunk costs objects of its own; an event in small chunks was copied and scanned from its start with each of them; the HTTP client made an error for each header line beyond its limit; replies of the store had no limit at all; and nothing shared processor time among connections.

At most one write to a caller is under way. Target, store and control connections are read in slices; one that has used 0.5 ms of a pass of the event loop, beside what sound bytes take, waits for a turn, and all turns together take a fifth of the time (core/limits/readTurns). The progress guard counts for each connection and acts before the client's own limit. Callers are held back the same way, may have four requests of a connection under way, and are closed in turn for heads that are too long and for bytes that are no request. Reports of peers take at most half of the time.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -114,6 +114,8 @@
 export * from './retries/poisonRequestTracker.js';
 export * from './usage/medianClock.js';
 export * from './limits/memoryBudget.js';
+export * from './limits/readTurns.js';
+export * from './limits/workWindow.js';
 export * from './limits/targetLimit.js';
 export type * from './membership/serviceVersions.js';
 export type * from './membership/streamVersions.js';
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -1,15 +1,17 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {type Socket} from 'node:net';
 import {
 	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
 } from '@damaskspool/core';
-import {type DeploymentPorts} from '@damaskspool/runtime';
+import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
+import {createCallerThrottle} from './createCallerThrottle.js';
 import {type ConnectionTracker} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {writeRefusal} from './writeRefusal.js';
@@ -21,6 +23,7 @@
 	readonly isStopping: () => boolean;
 	readonly arrivalMonitor: ArrivalMonitor;
 	readonly connections: ConnectionTracker;
+	readonly readGovernor: ReadGovernor;
 	readonly memoryLedger: MemoryLedger;
 	/** Called with a complete request. */
 	readonly onCall: (handle: CallHandle, call: CallRequest, waited: WaitedTimes) => void;
@@ -28,6 +31,8 @@
 	readonly onOverloaded: (requestId: string, lagMs: number) => void;
 	/** Called with a request that is refused before its body is read, because memory is short. */
 	readonly onBodyRefused: (requestId: string, bodyBytes: number) => void;
+	/** Called once for a connection that sends requests without waiting for their answers. */
+	readonly onCrowded: () => void;
 	/** Called if the caller disconnects before the response is complete. */
 	readonly onDisconnected: (callId: number) => void;
 };
@@ -42,6 +47,18 @@
 const FINGERPRINT_LENGTH = 12;
 /** Interval between checks for connections that exceed the header timeout. */
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 1000;
+/** Bytes of a connection without a request. More than the largest head. */
+const MAX_UNPRODUCTIVE_BYTES = 2 * MAX_HEADER_BYTES;
+/** Interval between checks for connections that send more. */
+const UNPRODUCTIVE_CHECK_INTERVAL_MS = 50;
+/** Requests of one connection that may be under way at once. Callers wait for an answer before they send the next request. */
+const MAX_OPEN_REQUESTS = 4;
+/** Status lines for what the HTTP server rejects because it is too long or comes too slowly, by code of the error. */
+const REJECTION_STATUSES: Readonly<Record<string, string>> = {
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
 /** Limits that apply until a configuration is known. */
 const INITIAL_LIMITS = {bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000} as const;
 
@@ -60,15 +77,38 @@
  * @returns the server, not listening yet
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {ports, findLimits, isStopping, arrivalMonitor, connections, memoryLedger, onCall, onOverloaded, onBodyRefused, onDisconnected} = options;
+	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onCrowded, onDisconnected} = options;
+	const throttle = createCallerThrottle({readGovernor});
 	let lastCallId = 0;
 	/** Responses to requests whose bodies are being read. */
 	const reading = new Set<ServerResponse>();
 
+	/** Closes a connection behind the answers to the requests that were taken. The others are not read. */
+	const closeCrowded = (socket: Socket) => {
+		if (throttle.isHeldForGood(socket)) {
+			return;
+		}
+
+		throttle.hold(socket);
+		onCrowded();
+		connections.runOnceAnswered(socket, () => {
+			throttle.runInTurn(socket, () => {
+				socket.destroy();
+			});
+		});
+	};
+
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
-		connections.recordRequest(response, incoming.socket);
+		const {socket} = incoming;
+		throttle.recordRead(socket);
+		if (connections.countOpen(socket) >= MAX_OPEN_REQUESTS) {
+			closeCrowded(socket);
+			return;
+		}
+
+		connections.recordRequest(response, socket);
 		// The longest time that a request may have waited is mostly more than it did, so a lag that is common at work is not counted.
-		const unreadMs = Math.max(0, arrivalMonitor.measureUnreadMs(incoming.socket) - MAX_EVENT_LOOP_LAG_MS);
+		const unreadMs = Math.max(0, arrivalMonitor.measureUnreadMs(socket) - MAX_EVENT_LOOP_LAG_MS);
 		const arrivedAtMs = performance.now() - unreadMs;
 		const request = ports.parseCallerRequest(incoming);
 		const maxBodyBytes = findLimits()?.bodyBytes ?? INITIAL_LIMITS.bodyBytes;
@@ -82,13 +122,14 @@
 		lastCallId += 1;
 		const callId = lastCallId;
 		const held = memoryLedger.add({callId, requestId: request.call.requestId, response});
-		const chunks: Buffer[] = [];
+		const collector = createByteCollector();
 		let bytes = 0;
 		reading.add(response);
 		response.on('close', () => {
 			reading.delete(response);
 		});
 		incoming.on('data', (chunk: Buffer) => {
+			throttle.recordRead(socket);
 			bytes += chunk.length;
 			held.bodyBytes = bytes;
 			memoryLedger.record(chunk.length);
@@ -99,11 +140,11 @@
 			if (bytes > maxBodyBytes) {
 				response.shouldKeepAlive = false;
 				writeRefusal({response, ports, failure: createFailure(ERROR_CODES.bodyTooLarge)});
-				incoming.removeAllListeners('data').resume();
+				discardRest(incoming);
 				return;
 			}
 
-			chunks.push(chunk);
+			collector.push(chunk);
 		});
 		incoming.on('end', () => {
 			reading.delete(response);
@@ -112,8 +153,7 @@
 			}
 
 			const completedAtMs = performance.now();
-			const body = Buffer.concat(chunks);
-			chunks.length = 0;
+			const body = collector.take();
 			held.isReading = false;
 			const handle: CallHandle = {
 				callId, request, body, response, held, sentForm: SENT_FORMS.nothing, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
@@ -129,7 +169,7 @@
 
 			const call = {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)};
 			waitForPendingDisconnects(lagMs => {
-				if (response.destroyed || incoming.socket.destroyed || incoming.socket.readableEnded) {
+				if (response.destroyed || socket.destroyed || socket.readableEnded) {
 					return;
 				}
 
@@ -159,8 +199,37 @@
 	}, receive);
 	server.on('connection', socket => {
 		connections.recordConnection(socket);
+		throttle.recordConnection(socket);
 		arrivalMonitor.recordConnection(socket);
 	});
+	// The HTTP server tells nothing of bytes before the head of a request, such as line breaks.
+	const unproductiveTimer = setInterval(() => {
+		for (const socket of connections.listUnproductive(MAX_UNPRODUCTIVE_BYTES)) {
+			throttle.runInTurn(socket, () => {
+				socket.destroy();
+			});
+		}
+	}, UNPRODUCTIVE_CHECK_INTERVAL_MS);
+	unproductiveTimer.unref();
+	server.on('close', () => {
+		clearInterval(unproductiveTimer);
+	});
+	server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
+		const end = () => {
+			if (socket.writable && connections.countOpen(socket) === 0) {
+				socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
+			}
+
+			socket.destroy();
+		};
+
+		// A caller that comes back at once with the like of this must not take the time of others.
+		if (code !== undefined && code in REJECTION_STATUSES) {
+			throttle.runInTurn(socket, end);
+		} else {
+			end();
+		}
+	});
 	return {
 		server,
 		refuseReading() {
@@ -179,7 +248,12 @@
 export function refuseUnread(response: ServerResponse, ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>, failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})): void {
 	response.shouldKeepAlive = false;
 	writeRefusal({response, ports, failure});
-	response.req.removeAllListeners('data').resume();
+	discardRest(response.req);
+}
+
+/** Reads the rest of a body without keeping it, so that its caller can read the answer. */
+function discardRest(incoming: IncomingMessage): void {
+	incoming.removeAllListeners('data').resume();
 }
 
 /**
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -8,6 +8,12 @@
 	readonly recordRequest: (response: ServerResponse, socket: Socket) => void;
 	/** Returns the number of requests that are being read or answered. */
 	readonly countRequests: () => number;
+	/** Returns the number of requests on a connection that are being read or answered. */
+	readonly countOpen: (socket: Socket) => number;
+	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
+	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
+	/** Runs a task once no request of a connection is being read or answered. */
+	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
 	/** From now on, each connection closes behind the answers to the requests that it carries. */
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
@@ -15,7 +21,7 @@
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number};
+type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void};
 
 /**
  * Creates an empty tracker. The server's own count of idle connections is not enough for a stop: it includes those whose
@@ -45,12 +51,24 @@
 				connection.openRequests -= 1;
 				connection.answeredBytes = socket.bytesRead;
 				// The head of an answer that began before the stop does not announce it.
-				if (isStopping && connection.openRequests === 0) {
-					socket.destroySoon();
+				if (connection.openRequests === 0) {
+					connection.taskOnceAnswered?.();
+					if (isStopping) {
+						socket.destroySoon();
+					}
 				}
 			});
 		},
 		countRequests: () => responses.size,
+		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
+		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
+			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
+		runOnceAnswered(socket, task) {
+			const connection = connections.get(socket);
+			if (connection !== undefined) {
+				connection.taskOnceAnswered = task;
+			}
+		},
 		beginStop() {
 			isStopping = true;
 			for (const response of responses) {
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -5,7 +5,7 @@
 	createServingState, maySendStreams, reduceServing, type ServingEffect, type ServingEvent, type ServingState,
 } from '@damaskspool/core';
 import {
-	createLoop, type DeploymentPorts, type DirectEntrySettings, formatError, type Logger, type Metrics,
+	createLoop, createReadGovernor, type DeploymentPorts, type DirectEntrySettings, formatError, type Logger, type Metrics, type ReadGovernor,
 } from '@damaskspool/runtime';
 import {ERROR_CODES} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
@@ -36,6 +36,8 @@
 	readonly metrics: Metrics;
 	/** Settings of the operators; defaults apply if omitted. */
 	readonly operatorSettings?: DirectSettings;
+	/** Governor that also reads for the ports; one of its own if omitted. */
+	readonly readGovernor?: ReadGovernor;
 };
 
 /** When a stop was requested. */
@@ -74,7 +76,7 @@
  * @returns the entry, listening
  */
 export async function createDirectEntry(options: DirectEntryOptions): Promise<DirectEntry> {
-	const {settings, ports, logger, metrics, operatorSettings = directSettingsSchema.parse({})} = options;
+	const {settings, ports, logger, metrics, operatorSettings = directSettingsSchema.parse({}), readGovernor = createReadGovernor()} = options;
 	const {instanceId, availabilityZone, region} = settings;
 	const processId = randomUUID().slice(0, PROCESS_ID_LENGTH);
 	const readWallClock = createMonotonicWallClock();
@@ -103,7 +105,7 @@
 			}
 		},
 	});
-	const pools = createTargetPools();
+	const pools = createTargetPools({readGovernor});
 	const connections = createConnectionTracker();
 	let isStopped = false;
 	/** Whether this entry has been ready since its start. */
@@ -226,6 +228,7 @@
 		isStopping: () => state.isStopping,
 		arrivalMonitor,
 		connections,
+		readGovernor,
 		memoryLedger,
 		onCall(handle, request, waited) {
 			const {callId} = handle;
@@ -247,6 +250,10 @@
 				subject: requestId, code: ERROR_CODES.overloaded, bodyBytes, heldBytes: memoryLedger.measure(),
 			});
 		},
+		onCrowded() {
+			metrics.count('connections_crowded');
+			logger.warn('connection.crowded', {});
+		},
 		onDisconnected(callId) {
 			loop.dispatch({type: 'call.disconnected', callId});
 			callEffects.end(callId);
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -33,14 +33,50 @@
  * target's connection breaks, nor bytes that are no event of the stream.
  */
 export function createEventSplitter({lastEventId: firstEventId, extraFields}: EventSplitterOptions): EventSplitter {
-	let incompleteEvent: Buffer = Buffer.alloc(0);
+	/** Starts with the bytes of the incomplete event. Grows by doubling, so that small chunks are not copied again and again. */
+	let buffer: Buffer = Buffer.alloc(0);
+	let length = 0;
 	let lastEventId = firstEventId;
+
+	/** Returns the bytes of the incomplete event followed by those of a chunk. */
+	const joinChunk = (chunk: Buffer): Buffer => {
+		if (length === 0) {
+			return chunk;
+		}
+
+		const joinedLength = length + chunk.length;
+		if (joinedLength > buffer.length) {
+			const grown = Buffer.allocUnsafe(Math.max(joinedLength, 2 * length));
+			grown.set(buffer.subarray(0, length));
+			buffer = grown;
+		}
+
+		buffer.set(chunk, length);
+		return buffer.subarray(0, joinedLength);
+	};
+
+	/** Keeps the bytes of an incomplete event, apart from what they were read with. */
+	const storeIncomplete = (bytes: Buffer) => {
+		if (length === 0) {
+			buffer = Buffer.from(bytes);
+		}
+
+		length = bytes.length;
+	};
+
 	return {
 		push(chunk) {
-			const joined = incompleteEvent.length === 0 ? chunk : Buffer.concat([incompleteEvent, chunk]);
+			// What came before holds no end of an event, but may hold the first byte of one.
+			const searchStart = Math.max(0, length - (EVENT_END.length - 1));
+			const joined = joinChunk(chunk);
+			if (!joined.includes(EVENT_END, searchStart)) {
+				storeIncomplete(joined);
+				return {completeEvents: undefined, isOutOfOrder: false};
+			}
+
 			let start = 0;
 			let isOutOfOrder = false;
-			for (let end = joined.indexOf(EVENT_END); end !== -1; end = joined.indexOf(EVENT_END, start)) {
+			for (let end = joined.indexOf(EVENT_END, searchStart); end !== -1; end = joined.indexOf(EVENT_END, start)) {
 				const event = parseEvent(joined.subarray(start, end + EVENT_END.length), extraFields);
 				if (event === undefined || !isNextEvent(lastEventId, event.number)) {
 					isOutOfOrder = true;
@@ -51,10 +87,11 @@
 				start = end + EVENT_END.length;
 			}
 
-			incompleteEvent = joined.subarray(start);
+			length = 0;
+			storeIncomplete(joined.subarray(start));
 			return {completeEvents: start === 0 ? undefined : joined.subarray(0, start), isOutOfOrder};
 		},
 		getLastEventId: () => lastEventId,
-		countIncompleteBytes: () => incompleteEvent.length,
+		countIncompleteBytes: () => length,
 	};
 }
--- a/packages/daemon/src/direct/createMemoryLedger.ts
+++ b/packages/daemon/src/direct/createMemoryLedger.ts
@@ -13,6 +13,8 @@
 	bodyBytes: number;
 	/** Bytes of a response that is not forwarded yet. */
 	bufferedBytes: number;
+	/** Bytes of a response that wait for the caller to read what came before. */
+	pendingBytes: number;
 	/** Whether the request body is still being read, so that no target knows the request. */
 	isReading: boolean;
 	progressedAtMs: number;
@@ -29,7 +31,7 @@
 	/** Records bytes that are held from now on, and drops connections if that is too much. */
 	readonly record: (bytes: number) => void;
 	/** Tells whether a target may send more although its caller has not read everything. */
-	readonly mayForward: (response: ServerResponse) => boolean;
+	readonly mayForward: (call: HeldCall) => boolean;
 	/** Returns the bytes held. */
 	readonly measure: () => number;
 	/** Returns the bytes that may be held now; `Infinity` if the platform states no memory. */
@@ -59,7 +61,7 @@
 	let heldBytes = 0;
 	let measuredAtMs = 0;
 
-	const countHeld = ({response, bodyBytes, bufferedBytes}: HeldCall) => bodyBytes + bufferedBytes + response.writableLength;
+	const countHeld = ({response, bodyBytes, bufferedBytes, pendingBytes}: HeldCall) => bodyBytes + bufferedBytes + pendingBytes + response.writableLength;
 
 	const measure = (): number => {
 		const nowMs = performance.now();
@@ -99,17 +101,22 @@
 		measure();
 	};
 
-	const timer = setInterval(() => {
+	const updateBudget = () => {
 		const previousBytes = residentBytes;
 		residentBytes = process.memoryUsage.rss();
 		budgetBytes = computeNextBudget({heldBytes: measure(), budgetBytes}, {residentBytes, previousBytes}, memoryBytes);
 		applyBudget();
+	};
+
+	const timer = setInterval(() => {
+		// After a time in which the process stood still, callers may have read meanwhile. The event loop learns that first.
+		setImmediate(updateBudget);
 	}, MEASURE_INTERVAL_MS);
 	timer.unref();
 	return {
 		add({callId, requestId, response}) {
 			const call: HeldCall = {
-				callId, requestId, response, bodyBytes: 0, bufferedBytes: 0, isReading: true, progressedAtMs: performance.now(), progressBytes: 0,
+				callId, requestId, response, bodyBytes: 0, bufferedBytes: 0, pendingBytes: 0, isReading: true, progressedAtMs: performance.now(), progressBytes: 0,
 			};
 			calls.set(callId, call);
 			response.on('close', () => {
@@ -124,7 +131,7 @@
 				applyBudget();
 			}
 		},
-		mayForward: response => response.writableLength < computeConnectionLimit({heldBytes, budgetBytes}),
+		mayForward: ({response, pendingBytes}) => response.writableLength + pendingBytes < computeConnectionLimit({heldBytes, budgetBytes}),
 		measure,
 		getBudget: () => budgetBytes,
 		stop() {
--- a/packages/daemon/src/direct/createPeerLink.ts
+++ b/packages/daemon/src/direct/createPeerLink.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
-import {computeReportInterval, type PeerReport} from '@damaskspool/core';
+import {
+	computeReportInterval, createWorkWindow, hasWorkTime, type PeerReport, recordWork,
+} from '@damaskspool/core';
 import {JSONRPCClient, JSONRPCServer} from 'json-rpc-2.0';
 import {type PeerAddress} from './createPeerDirectory.js';
 import {formatPeerReport, parsePeerReports, type PeerReportTuple} from './peerReportTuple.js';
@@ -104,11 +106,28 @@
 		}
 	}
 
+	const workWindow = createWorkWindow();
+	let droppedCount = 0;
+
 	const receiveDatagram = async (bytes: Buffer) => {
+		const startedAtMs = performance.now();
+		// A later report tells what a dropped one did.
+		if (!hasWorkTime(workWindow, startedAtMs)) {
+			droppedCount += 1;
+			return;
+		}
+
+		if (droppedCount > 0) {
+			onFailure(`${droppedCount} datagrams were dropped, for which there was no time`);
+			droppedCount = 0;
+		}
+
 		try {
 			await receiver.receive(JSON.parse(bytes.toString('utf8')) as Parameters<typeof receiver.receive>[0]);
 		} catch (error) {
 			onFailure((error as Error).message);
+		} finally {
+			recordWork(workWindow, performance.now() - startedAtMs);
 		}
 	};
 
--- a/packages/daemon/src/direct/createProgressGuard.ts
+++ b/packages/daemon/src/direct/createProgressGuard.ts
@@ -2,7 +2,7 @@
 
 /**
  * Ends connections whose bytes the HTTP parser consumes without any result, for instance endless line breaks before a
- * status line, interim responses or chunk extensions. The parser buffers none of them and reports none of them.
+ * status line, header lines, interim responses, chunk extensions or trailers. The parser reports none of them.
  */
 export type ProgressGuard = {
 	/** Records that the bytes that were just read completed the head of a response or were part of its body. */
@@ -15,23 +15,30 @@
 	readonly watchSocket: (socket: Socket) => void;
 };
 
-/** Bytes in a row without progress. Several times the largest head of a response that the parser accepts. */
-const MAX_UNPRODUCTIVE_BYTES = 65_536;
+/** Bytes in a row without progress, beside the slice that is parsed then. More than the largest head of a usual answer. */
+const MAX_UNPRODUCTIVE_BYTES = 16_384;
+
+/**
+ * Largest head that the HTTP client accepts. More than the guard lets through: beyond its limit, the client parses what it
+ * has read to the end, with an error for each line.
+ */
+export const MAX_ANSWER_HEAD_BYTES = 65_536;
 
 /** Refused requests that are remembered for a connection. Callers send a request again within seconds. */
 const MAX_REFUSED_IDS = 64;
 
-/** Answers that were read from a connection. */
-type ConnectionAnswers = {answerCount: number; readonly refusedIds: Set<string>};
+/** What was read from a connection. */
+type WatchedConnection = {answerCount: number; hasProgressed: boolean; readonly refusedIds: Set<string>};
+
+const createWatchedConnection = (): WatchedConnection => ({answerCount: 0, hasProgressed: false, refusedIds: new Set()});
 
 /** Creates a guard for the connections of an entry to its targets. */
 export function createProgressGuard(): ProgressGuard {
-	let progressCount = 0;
 	/** Connection whose bytes were read last. The HTTP client parses them before it reads those of another one. */
-	let connectionRead: ConnectionAnswers = {answerCount: 0, refusedIds: new Set()};
+	let connectionRead = createWatchedConnection();
 	return {
 		recordProgress() {
-			progressCount += 1;
+			connectionRead.hasProgressed = true;
 		},
 		recordAnswer() {
 			connectionRead.answerCount += 1;
@@ -48,15 +55,15 @@
 			return isFirst;
 		},
 		watchSocket(socket) {
-			const connection: ConnectionAnswers = {answerCount: 0, refusedIds: new Set()};
+			const connection = createWatchedConnection();
 			const readSocket = socket.read.bind(socket);
 			let unproductiveBytes = 0;
 			let lastBytes = 0;
-			let countBeforeRead = 0;
 			// The HTTP client parses each chunk before it reads the next one, and reads until nothing is left.
 			socket.read = size => {
 				connectionRead = connection;
-				unproductiveBytes = progressCount === countBeforeRead ? unproductiveBytes + lastBytes : 0;
+				unproductiveBytes = connection.hasProgressed ? 0 : unproductiveBytes + lastBytes;
+				connection.hasProgressed = false;
 				if (unproductiveBytes > MAX_UNPRODUCTIVE_BYTES) {
 					socket.destroy(new Error('the target sends bytes that are no response'));
 					return null;
@@ -64,7 +71,6 @@
 
 				const chunk = readSocket(size) as Uint8Array | null;
 				lastBytes = chunk?.length ?? 0;
-				countBeforeRead = progressCount;
 				return chunk;
 			};
 		},
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -1,6 +1,7 @@
 import {type Dispatcher, Pool} from 'undici';
 import {type TargetRecord} from '@damaskspool/core';
-import {createProgressGuard, type ProgressGuard} from './createProgressGuard.js';
+import {governSocket, type ReadGovernor} from '@damaskspool/runtime';
+import {createProgressGuard, MAX_ANSWER_HEAD_BYTES, type ProgressGuard} from './createProgressGuard.js';
 import {createResetDetector} from './createResetDetector.js';
 
 /** Connection pools of targets. A target identifier stands for one incarnation of a target. */
@@ -35,9 +36,15 @@
 const SHORT_IDLE_PERIOD_MS = 20_000;
 
 /** Creates an empty set of connection pools. */
-export function createTargetPools(): TargetPools {
+export function createTargetPools({readGovernor}: {readonly readGovernor: ReadGovernor}): TargetPools {
 	const progressGuard = createProgressGuard();
-	const resetDetector = createResetDetector({timeoutMs: CONNECT_TIMEOUT_MS, onConnected: progressGuard.watchSocket});
+	const resetDetector = createResetDetector({
+		timeoutMs: CONNECT_TIMEOUT_MS,
+		onConnected(socket) {
+			governSocket(socket, readGovernor);
+			progressGuard.watchSocket(socket);
+		},
+	});
 	const pools = new Map<string, {address: string; pool: Pool; maxConnections: number; idleTimeoutMs: number}>();
 	let shortIdleUntilMs = 0;
 	const release = (pool: Pool) => {
@@ -65,6 +72,7 @@
 			const pool = new Pool(`http://${target.address}`, {
 				connections: maxConnections,
 				pipelining: 1,
+				maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
 				connect: resetDetector.connect,
 				keepAliveTimeout: idleTimeoutMs,
 				keepAliveMaxTimeout: idleTimeoutMs,
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,13 +1,16 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
 	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS,
 	type SendServingAttempt, type SentForm, type TargetNotice,
 } from '@damaskspool/core';
-import {type DeploymentPorts, type ResponseHead, type ResponseHeaders} from '@damaskspool/runtime';
+import {
+	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
+} from '@damaskspool/runtime';
 import {type CallHandle} from './callHandle.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {createEventSplitter} from './createEventSplitter.js';
+import {createForwarder} from './createForwarder.js';
 
 /** Result of an attempt, as the reducer receives it. */
 export type AttemptEnd = {
@@ -51,8 +54,7 @@
 
 /** Receives the body of a response. The head of the response determines which sink is used. */
 type BodySink = {
-	/** Returns false if the target's response must pause until the caller's connection drains. */
-	readonly write: (chunk: Buffer) => boolean;
+	readonly write: (chunk: Buffer) => void;
 	readonly end: () => void;
 };
 
@@ -66,8 +68,9 @@
 } as const;
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Bytes of a body that are read after the attempt has ended, so that the connection can be reused. */
+/** Bytes and pieces of a body that are read after the attempt has ended, so that the connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARDED_PIECES = 64;
 
 /**
  * Sends a request to a target and forwards the response to the caller.
@@ -84,7 +87,19 @@
 	let hasBegun = false;
 	let framing: AnswerFraming | undefined;
 	let discardedBytes = 0;
+	let discardedPieces = 0;
 	let sink: BodySink | undefined;
+	const forwarder = createForwarder({
+		response,
+		held: handle.held,
+		memoryLedger,
+		pause() {
+			controller?.pause();
+		},
+		resume() {
+			controller?.resume();
+		},
+	});
 
 	const finish = (result: AttemptResult, detail: string, hasRun = hasBegun) => {
 		if (isFinished) {
@@ -92,7 +107,7 @@
 		}
 
 		isFinished = true;
-		response.off('drain', resume);
+		forwarder.flush();
 		handle.held.bufferedBytes = handle.bufferedResponse?.body.length ?? 0;
 		if (attempt.isPrefillOnly) {
 			onPrefillEnded(undefined, result);
@@ -104,10 +119,6 @@
 		});
 	};
 
-	const resume = () => {
-		controller?.resume();
-	};
-
 	const fail = (detail: string) => {
 		finish(ATTEMPT_RESULTS.unknown, detail);
 		controller?.abort(new Error(detail));
@@ -126,34 +137,21 @@
 		memoryLedger.record(bytes);
 	};
 
-	/** Writes to the caller. Returns false if the target must wait until the caller has read. A connection to a target that waits is lost to other callers, so that happens only beyond a limit. */
-	const forward = (bytes: Buffer): boolean => {
-		const isFlushed = response.write(bytes);
-		if (!isFlushed) {
-			memoryLedger.record(bytes.length);
-		}
-
-		return isFlushed || memoryLedger.mayForward(response);
-	};
-
 	/** Creates a sink that buffers a body. A body that exceeds the buffer fails the attempt. */
 	const createBoundedSink = (onBody: (body: Buffer) => void): BodySink => {
-		const chunks: Buffer[] = [];
-		let bytes = 0;
+		const collector = createByteCollector();
 		return {
 			write(chunk) {
-				bytes += chunk.length;
-				if (bytes > MAX_BUFFERED_BYTES) {
+				if (collector.getLength() + chunk.length > MAX_BUFFERED_BYTES) {
 					fail('the response is longer than any response of its kind');
-				} else {
-					chunks.push(chunk);
-					recordBuffered(chunk.length);
+					return;
 				}
 
-				return true;
+				collector.push(chunk);
+				recordBuffered(chunk.length);
 			},
 			end() {
-				onBody(Buffer.concat(chunks));
+				onBody(collector.take());
 			},
 		};
 	};
@@ -188,12 +186,11 @@
 		return {
 			write(chunk) {
 				const {completeEvents, isOutOfOrder} = splitter.push(chunk);
-				let isWritable = true;
 				if (completeEvents !== undefined) {
 					begin();
 					writeHead(status, head, {form: SENT_FORMS.events});
 					handle.lastEventId = splitter.getLastEventId();
-					isWritable = forward(completeEvents);
+					forwarder.push(completeEvents);
 				}
 
 				if (isOutOfOrder) {
@@ -201,8 +198,6 @@
 				} else if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
 					fail('an event of the stream is longer than any event');
 				}
-
-				return isWritable;
 			},
 			end() {
 				if (splitter.countIncompleteBytes() > 0) {
@@ -222,6 +217,7 @@
 
 				begin();
 				writeHead(status, head, {form: SENT_FORMS.events});
+				forwarder.flush();
 				response.end();
 				finish(ATTEMPT_RESULTS.answered, `status ${status}`);
 			},
@@ -229,33 +225,31 @@
 	};
 
 	const createBufferingSink = (status: number, head: ResponseHead): BodySink => {
-		const chunks: Buffer[] = [];
-		let bytes = 0;
+		const collector = createByteCollector();
 		return {
 			write(chunk) {
 				begin();
 				if (response.headersSent) {
-					return forward(chunk);
+					forwarder.push(chunk);
+					return;
 				}
 
-				chunks.push(chunk);
+				collector.push(chunk);
 				recordBuffered(chunk.length);
-				bytes += chunk.length;
-				if (bytes <= MAX_BUFFERED_BYTES) {
-					return true;
+				if (collector.getLength() > MAX_BUFFERED_BYTES) {
+					writeHead(status, head, {form: SENT_FORMS.body});
+					handle.held.bufferedBytes = 0;
+					forwarder.push(collector.take());
 				}
-
-				writeHead(status, head, {form: SENT_FORMS.body});
-				handle.held.bufferedBytes = 0;
-				return forward(Buffer.concat(chunks.splice(0)));
 			},
 			end() {
 				begin();
 				if (response.headersSent) {
+					forwarder.flush();
 					response.end();
 				} else {
-					writeHead(status, head, {form: SENT_FORMS.body, length: bytes});
-					response.end(Buffer.concat(chunks));
+					writeHead(status, head, {form: SENT_FORMS.body, length: collector.getLength()});
+					response.end(collector.take());
 				}
 
 				finish(ATTEMPT_RESULTS.answered, `status ${status}`);
@@ -326,7 +320,6 @@
 		}
 	};
 
-	response.on('drain', resume);
 	pool.dispatch({
 		path: handle.request.call.path,
 		method: handle.request.method,
@@ -358,11 +351,12 @@
 			onProgress();
 			if (isFinished) {
 				discardedBytes += chunk.length;
-				if (discardedBytes > MAX_DISCARDED_BYTES) {
+				discardedPieces += 1;
+				if (discardedBytes > MAX_DISCARDED_BYTES || discardedPieces > MAX_DISCARDED_PIECES) {
 					started.abort(new Error('the rest of the response is not needed'));
 				}
-			} else if (sink?.write(chunk) === false) {
-				started.pause();
+			} else {
+				sink?.write(chunk);
 			}
 		},
 		onResponseEnd() {
@@ -384,7 +378,7 @@
 	});
 	return () => {
 		isFinished = true;
-		response.off('drain', resume);
+		forwarder.flush();
 		controller?.abort(new Error('the attempt was cancelled'));
 	};
 }
