--- /dev/null
+++ b/packages/runtime/src/__tests__/createReadGovernor.test.ts
@@ -0,0 +1,73 @@
+/** Load: a connection that always has more to read, and costs more than its share. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
+import {createReadGovernor, type GovernedReader} from '../createReadGovernor.js';
+
+const RUN_MS = 400;
+/** Share of the time that turns may take, with what timers are late. */
+const MAX_SHARE = 0.25;
+
+/** Opens a reader that always has more to read, in pieces that are said to take a time. */
+function openEndlessReader(governor: ReturnType<typeof createReadGovernor>, pieceMs: number) {
+	const use = {workMs: 0};
+	const read = () => {
+		while (reader.mayRead()) {
+			reader.record(pieceMs);
+			use.workMs += pieceMs;
+		}
+	};
+
+	const reader: GovernedReader = governor.open(read);
+	return {use, read, reader};
+}
+
+describe('the governor of reads', () => {
+	it('lets a connection read what is free in a pass, and then in its turns', async () => {
+		const governor = createReadGovernor();
+		const readers = Array.from({length: 5}, () => openEndlessReader(governor, 0.3));
+		for (const {read} of readers) {
+			read();
+		}
+
+		await wait(RUN_MS);
+		const works = readers.map(({use}) => use.workMs);
+		const total = works.reduce((sum, workMs) => sum + workMs, 0);
+		assert.ok(total <= RUN_MS * MAX_SHARE, `${total} ms of work`);
+		assert.ok(works.every(workMs => workMs > 2), JSON.stringify(works));
+		for (const {reader} of readers) {
+			reader.close();
+		}
+	});
+
+	it('never holds back a connection that reads a little in each pass', async () => {
+		const governor = createReadGovernor();
+		const {read, reader} = openEndlessReader(governor, 0.3);
+		read();
+		const sound = governor.open(() => {
+			assert.fail('it never waits');
+		});
+		for (let pass = 0; pass < 50; pass += 1) {
+			assert.ok(sound.mayRead());
+			sound.record(0.3);
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		reader.close();
+	});
+
+	it('calls a connection that is closed no more', async () => {
+		const governor = createReadGovernor();
+		let turnCount = 0;
+		const reader = governor.open(() => {
+			turnCount += 1;
+		});
+		reader.record(1);
+		assert.ok(!reader.mayRead());
+		reader.close();
+		await wait(20);
+		assert.equal(turnCount, 0);
+	});
+});
