Count the parts that callers send instead of timing them

Suspected: on an instance with 0.184 cores one sound request takes more than the free 0.5 ms, so that its connection is held back, waits for a turn, and its caller is not seen to leave. Parts count 0.005 ms each now, and 2 ms are free in a pass. A turn ends even if its task fails.

--- a/packages/core/src/limits/readTurns.ts
+++ b/packages/core/src/limits/readTurns.ts
@@ -13,8 +13,8 @@
 	nextTurnAtMs: number;
 };
 
-/** Processor time that a connection may use in a pass of the event loop. Several times what an answer of usual length takes. */
-export const FREE_READ_MS = 0.5;
+/** Processor time that a connection may use in a pass of the event loop. Several times what an answer of usual length takes on the slowest instances. */
+export const FREE_READ_MS = 2;
 /** Processor time that a connection may use in its turn. */
 export const TURN_MS = 3;
 /** Share of the time that turns may take. */
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -15,16 +15,17 @@
 
 type HeldConnection = {readonly reader: GovernedReader; isHeld: boolean; isHeldForGood: boolean; task: (() => void) | undefined};
 
-/** Time between two parts of one connection from which on the process did something else in between. */
-const MAX_PART_MS = 1;
+/**
+ * Time that counts for a part of a request. Parts are counted and not timed: on a slow instance, one sound request takes as
+ * long as many parts, and a caller that is held back cannot be seen to leave.
+ */
+const PART_MS = 0.005;
 /** Time that counts for a connection whose task ran in a turn: parsing what the HTTP server rejects. */
 const TASK_MS = 2;
 
 /** Creates a throttle for the connections of an entry to its callers. */
 export function createCallerThrottle({readGovernor}: {readonly readGovernor: ReadGovernor}): CallerThrottle {
 	const connections = new WeakMap<Socket, HeldConnection>();
-	let lastSocket: Socket | undefined;
-	let lastPartAtMs = 0;
 
 	const hold = (socket: Socket, isForGood = true) => {
 		const connection = connections.get(socket);
@@ -61,16 +62,11 @@
 		},
 		recordRead(socket) {
 			const connection = connections.get(socket);
-			const nowMs = performance.now();
-			const partMs = nowMs - lastPartAtMs;
-			const isSameRead = lastSocket === socket && partMs < MAX_PART_MS;
-			lastSocket = socket;
-			lastPartAtMs = nowMs;
-			if (connection === undefined || connection.isHeld || !isSameRead) {
+			if (connection === undefined || connection.isHeld) {
 				return;
 			}
 
-			connection.reader.record(partMs);
+			connection.reader.record(PART_MS);
 			if (!connection.reader.mayRead()) {
 				hold(socket, false);
 			}
--- a/packages/runtime/src/createReadGovernor.ts
+++ b/packages/runtime/src/createReadGovernor.ts
@@ -61,8 +61,7 @@
 		reader.isWaiting = false;
 		reader.isInTurn = true;
 		reader.passWorkMs = 0;
-		reader.onTurn();
-		// The event loop reads between its timers and its immediates.
+		// The event loop reads between its timers and its immediates. The turn ends even if its task fails.
 		setImmediate(() => {
 			reader.isInTurn = false;
 			endTurn(turns, reader.passWorkMs, performance.now());
@@ -70,6 +69,7 @@
 			isTurnScheduled = false;
 			scheduleTurn();
 		});
+		reader.onTurn();
 	};
 
 	return {
