--- a/packages/daemon/src/direct/createForwarder.ts
+++ b/packages/daemon/src/direct/createForwarder.ts
@@ -32,7 +32,8 @@
 	let isPaused = false;
 
 	const writePending = () => {
-		if (pending.getLength() === 0 || response.destroyed) {
+		const bytes = pending.getLength();
+		if (bytes === 0 || response.destroyed) {
 			return;
 		}
 
@@ -54,7 +55,7 @@
 		});
 		response.uncork();
 		if (!isFlushed) {
-			memoryLedger.record(blocks.reduce((sum, block) => sum + block.length, 0));
+			memoryLedger.record(bytes);
 		}
 	};
 
--- a/packages/daemon/src/direct/createResetDetector.ts
+++ b/packages/daemon/src/direct/createResetDetector.ts
@@ -1,5 +1,6 @@
 import {type Socket} from 'node:net';
-import {buildConnector} from 'undici';
+import {type buildConnector} from 'undici';
+import {createObservedConnector} from '@damaskspool/runtime';
 
 /** Distinguishes a response that ended with its connection from one whose connection was reset. */
 export type ResetDetector = {
@@ -18,7 +19,6 @@
  * @param options - `timeoutMs` is the connect timeout; `onConnected` receives each new connection
  */
 export function createResetDetector({timeoutMs, onConnected}: {timeoutMs: number; onConnected?: (socket: Socket) => void}): ResetDetector {
-	const connectSocket = buildConnector({timeout: timeoutMs});
 	let isHandling = false;
 	const recordReset = () => {
 		isHandling = true;
@@ -28,14 +28,8 @@
 	};
 
 	return {
-		connect(options, callback) {
-			connectSocket(options, (...connectResult) => {
-				if (connectResult[0] !== null) {
-					callback(...connectResult);
-					return;
-				}
-
-				const [, socket] = connectResult;
+		connect: createObservedConnector({
+			timeoutMs, onConnected(socket) {
 				onConnected?.(socket);
 				socket.on('error', recordReset);
 				socket.on('end', () => {
@@ -44,9 +38,8 @@
 						recordReset();
 					}
 				});
-				callback(...connectResult);
-			});
-		},
+			},
+		}),
 		isHandlingReset: () => isHandling,
 	};
 }
--- a/packages/runtime/src/createByteCollector.ts
+++ b/packages/runtime/src/createByteCollector.ts
@@ -12,6 +12,7 @@
 
 /** Length from which on a chunk is a block of its own, which is not copied. */
 const OWN_BLOCK_BYTES = 1024;
+const NO_BYTES = Buffer.alloc(0);
 const MIN_BLOCK_BYTES = 256;
 const MAX_BLOCK_BYTES = 16_384;
 
@@ -19,7 +20,7 @@
 export function createByteCollector(): ByteCollector {
 	let blocks: Buffer[] = [];
 	/** Block that small chunks are copied to, and how much of it is used. */
-	let openBlock = Buffer.alloc(0);
+	let openBlock: Buffer = NO_BYTES;
 	let openLength = 0;
 	let length = 0;
 
@@ -35,7 +36,7 @@
 		closeBlock();
 		const taken = blocks;
 		blocks = [];
-		openBlock = Buffer.alloc(0);
+		openBlock = NO_BYTES;
 		length = 0;
 		return taken;
 	};
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * from './formatError.js';
 export * from './createMetrics.js';
 export * from './createObjectApiClient.js';
+export * from './createObservedConnector.js';
 export * from './createReadGovernor.js';
 export * from './governSocket.js';
 export * from './rpc.js';
