Share the time of reading over a window, and parse what callers send in slices

Cause: what is free of charge, 20 ns a byte, is what a chunk of 64 bytes costs, and a cheap slice was followed by one of 64 KB. Time was free in each pass, and passes follow one another without a pause. The HTTP server parsed up to 64 KB of a caller in one go, 15 to 40 ms at first. Ruled out: less free time in a pass alone (52 of 100 still late), slices of a fixed length after a cheap one (the body follows its head later).

Change: 20 ms in 100 ms are free for all connections, then an equal part of 20 ms for each; 5 ns a byte are free; the next slice follows what the last one took; callers' bytes reach the HTTP server in such slices too; callers have shares and turns of their own; turns go by waiting time and recent turns. A slice of a caller counts 1 ms at most beside its parts, since slow instances must see callers leave.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -115,6 +115,7 @@
 export * from './usage/medianClock.js';
 export * from './limits/memoryBudget.js';
 export * from './limits/readTurns.js';
+export * from './limits/readWindow.js';
 export * from './limits/workWindow.js';
 export * from './limits/targetLimit.js';
 export type * from './membership/serviceVersions.js';
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -1,10 +1,12 @@
+import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import {type GovernedReader, type ReadGovernor} from '@damaskspool/runtime';
 
 /** Holds back callers whose bytes cost much to read. */
 export type CallerThrottle = {
+	/** Takes over what the HTTP server reads of a new connection. */
 	readonly recordConnection: (socket: Socket) => void;
-	/** Records that a part of a request was just read. The HTTP server reads what has arrived of a connection in one go. */
+	/** Records that a part of a request was just parsed. */
 	readonly recordRead: (socket: Socket) => void;
 	/** Reads nothing more of a connection that is about to be closed. */
 	readonly hold: (socket: Socket) => void;
@@ -13,13 +15,31 @@
 	readonly runInTurn: (socket: Socket, task: () => void) => void;
 };
 
-type HeldConnection = {readonly reader: GovernedReader; isHeld: boolean; isHeldForGood: boolean; task: (() => void) | undefined};
+type HeldConnection = {
+	readonly reader: GovernedReader;
+	/** Parses more, and reads again once all that was read is parsed. */
+	readonly proceed: () => void;
+	isHeld: boolean;
+	isHeldForGood: boolean;
+	task: (() => void) | undefined;
+	/** Parts of requests in the present slice. */
+	partCount: number;
+};
 
-/**
- * Time that counts for a part of a request. Parts are counted and not timed: on a slow instance, one sound request takes as
- * long as many parts, and a caller that is held back cannot be seen to leave.
- */
+/** Time that counts at least for a part of a request. Some parts are taken after the slice that holds them. */
 const PART_MS = 0.005;
+/** Longest time that counts for a slice beside its parts. More than that, the process did not run, and a caller that is held back cannot be seen to leave. */
+const MAX_SLICE_MS = 1;
+/** Bytes that the HTTP server parses at first, and at least. What it parses of one slice cannot be stopped. */
+const MIN_SLICE_BYTES = 1024;
+/** Bytes that it parses at most: all that it reads at once. */
+const MAX_SLICE_BYTES = 65_536;
+/** Time for a slice, by which the length of the next one is chosen. */
+const SLICE_MS = 0.2;
+/** Growth from one slice to the next: what follows may cost more than what came before. */
+const MAX_SLICE_GROWTH = 4;
+/** Time that counts for a slice of lines. */
+const LINES_MS = 0.1;
 /** Time that counts for a connection whose task ran in a turn: parsing what the HTTP server rejects. */
 const TASK_MS = 2;
 
@@ -27,15 +47,92 @@
 export function createCallerThrottle({readGovernor}: {readonly readGovernor: ReadGovernor}): CallerThrottle {
 	const connections = new WeakMap<Socket, HeldConnection>();
 
-	const hold = (socket: Socket, isForGood = true) => {
+	const hold = (socket: Socket) => {
 		const connection = connections.get(socket);
 		if (connection !== undefined) {
 			connection.isHeld = true;
-			connection.isHeldForGood ||= isForGood;
-			socket.pause();
+			connection.isHeldForGood = true;
+			connection.proceed();
+		}
+	};
+
+	const recordWork = (connection: HeldConnection, workMs: number) => {
+		if (connection.isHeld) {
+			return;
+		}
+
+		connection.reader.record(workMs);
+		if (!connection.reader.mayRead()) {
+			connection.isHeld = true;
 		}
 	};
 
+	/**
+	 * Hands what is read of a connection to the HTTP server in slices, within the time that the governor allows.
+	 *
+	 * @returns a function that goes on with it
+	 */
+	const sliceReads = (socket: Socket, findConnection: () => HeldConnection): (() => void) => {
+		const [parse] = socket.listeners('data') as Array<(bytes: Buffer) => void>;
+		let unparsed: Buffer | undefined;
+		let sliceBytes = MIN_SLICE_BYTES;
+		let isParsing = false;
+		let isPausedByServer = false;
+		const pauseSocket = socket.pause.bind(socket);
+		const resumeSocket = socket.resume.bind(socket);
+
+		const mayParse = () => !findConnection().isHeld && !isPausedByServer && !socket.destroyed;
+
+		const parseSlices = () => {
+			const connection = findConnection();
+			isParsing = true;
+			while (unparsed !== undefined && mayParse()) {
+				const slice = unparsed.subarray(0, sliceBytes);
+				unparsed = slice.length < unparsed.length ? unparsed.subarray(slice.length) : undefined;
+				connection.partCount = 0;
+				const startedAtMs = performance.now();
+				parse!.call(socket, slice);
+				const workMs = Math.min(MAX_SLICE_MS, performance.now() - startedAtMs);
+				sliceBytes = Math.min(MAX_SLICE_BYTES, Math.max(MIN_SLICE_BYTES, Math.floor(slice.length * Math.min(MAX_SLICE_GROWTH, SLICE_MS / workMs))));
+				recordWork(connection, Math.max(connection.partCount === 0 ? LINES_MS : 0, workMs - (connection.partCount * PART_MS)));
+			}
+
+			isParsing = false;
+		};
+
+		const proceed = () => {
+			if (isParsing) {
+				return;
+			}
+
+			parseSlices();
+			if (unparsed === undefined && mayParse()) {
+				resumeSocket();
+			} else {
+				pauseSocket();
+			}
+		};
+
+		socket.pause = () => {
+			isPausedByServer = true;
+			return pauseSocket();
+		};
+
+		// The HTTP server resumes the connection by itself, for instance with each piece of a body.
+		socket.resume = () => {
+			isPausedByServer = false;
+			queueMicrotask(proceed);
+			return socket;
+		};
+
+		socket.off('data', parse!);
+		socket.on('data', (bytes: Buffer) => {
+			unparsed = bytes;
+			proceed();
+		});
+		return proceed;
+	};
+
 	return {
 		recordConnection(socket) {
 			const connection: HeldConnection = {
@@ -45,30 +142,25 @@
 						connection.reader.record(TASK_MS);
 					} else if (!connection.isHeldForGood) {
 						connection.isHeld = false;
-						socket.resume();
+						connection.proceed();
 					}
 				}),
+				proceed: sliceReads(socket, () => connection),
 				isHeld: false,
 				isHeldForGood: false,
 				task: undefined,
+				partCount: 0,
 			};
 			connections.set(socket, connection);
-			const resumeSocket = socket.resume.bind(socket);
-			// The HTTP server resumes the connection by itself, for instance with each piece of a body.
-			socket.resume = () => connection.isHeld ? socket : resumeSocket();
 			socket.on('close', () => {
 				connection.reader.close();
 			});
 		},
 		recordRead(socket) {
 			const connection = connections.get(socket);
-			if (connection === undefined || connection.isHeld) {
-				return;
-			}
-
-			connection.reader.record(PART_MS);
-			if (!connection.reader.mayRead()) {
-				hold(socket, false);
+			if (connection !== undefined) {
+				connection.partCount += 1;
+				recordWork(connection, PART_MS);
 			}
 		},
 		hold,
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -228,7 +228,8 @@
 		isStopping: () => state.isStopping,
 		arrivalMonitor,
 		connections,
-		readGovernor,
+		// What callers cost must not keep answers of targets waiting.
+		readGovernor: createReadGovernor(),
 		memoryLedger,
 		onCall(handle, request, waited) {
 			const {callId} = handle;
--- a/packages/runtime/src/__tests__/createReadGovernor.test.ts
+++ b/packages/runtime/src/__tests__/createReadGovernor.test.ts
@@ -1,8 +1,10 @@
 /** Load: a connection that always has more to read, and costs more than its share. */
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {afterEach, describe, it} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
-import {FREE_READ_MS} from '@damaskspool/core';
+import {
+	DIVIDED_WORK_MS, FREE_READ_MS, MIN_OWN_WORK_MS, SHARED_WORK_MS,
+} from '@damaskspool/core';
 import {createReadGovernor, type GovernedReader} from '../createReadGovernor.js';
 
 const RUN_MS = 400;
@@ -10,6 +12,8 @@
 const MAX_SHARE = 0.25;
 const PIECE_MS = 0.3;
 
+const openReaders = new Set<GovernedReader>();
+
 /** Opens a reader that always has more to read, in pieces that are said to take a time. */
 function openEndlessReader(governor: ReturnType<typeof createReadGovernor>, pieceMs: number) {
 	const use = {workMs: 0};
@@ -21,10 +25,19 @@
 	};
 
 	const reader: GovernedReader = governor.open(read);
+	openReaders.add(reader);
 	return {use, read, reader};
 }
 
 describe('the governor of reads', () => {
+	afterEach(() => {
+		for (const reader of openReaders) {
+			reader.close();
+		}
+
+		openReaders.clear();
+	});
+
 	it('lets a connection read what is free in a pass, and then in its turns', async () => {
 		const governor = createReadGovernor();
 		const readers = Array.from({length: 5}, () => openEndlessReader(governor, PIECE_MS));
@@ -39,9 +52,21 @@
 		const freeMs = readers.length * (FREE_READ_MS + PIECE_MS);
 		assert.ok(total <= ((performance.now() - startedAtMs) * MAX_SHARE) + freeMs, `${total} ms of work`);
 		assert.ok(works.every(workMs => workMs > 2), JSON.stringify(works));
-		for (const {reader} of readers) {
-			reader.close();
+	});
+
+	it('lets each of many connections that read use little, and a sound one beside them read', () => {
+		const governor = createReadGovernor();
+		const readers = Array.from({length: 40}, () => openEndlessReader(governor, 0.1));
+		for (const {read} of readers) {
+			read();
 		}
+
+		const total = readers.reduce((sum, {use}) => sum + use.workMs, 0);
+		assert.ok(total <= SHARED_WORK_MS + DIVIDED_WORK_MS + FREE_READ_MS + (readers.length * (MIN_OWN_WORK_MS + 0.1)), `${total} ms of work`);
+		const sound = governor.open(() => {
+			assert.fail('it never waits');
+		});
+		assert.ok(sound.mayRead());
 	});
 
 	it('never holds back a connection that reads a little in each pass', async () => {
@@ -58,8 +83,6 @@
 				setImmediate(resolve);
 			});
 		}
-
-		reader.close();
 	});
 
 	it('calls a connection that is closed no more', async () => {
--- a/packages/runtime/src/createReadGovernor.ts
+++ b/packages/runtime/src/createReadGovernor.ts
@@ -1,5 +1,5 @@
 import {
-	computeTurnWaitMs, createReadTurns, endTurn, enqueueConnection, FREE_READ_MS, removeConnection, takeTurn, TURN_MS,
+	computeRecentTurns, computeTurnWaitMs, countTurn, createReadTurns, createReadWindow, endTurn, enqueueConnection, FREE_READ_MS, isReadFree, type RecentTurns, recordReadWork, removeConnection, takeTurn, TURN_MS,
 } from '@damaskspool/core';
 
 /** Processor time that one connection takes for reading. */
@@ -20,11 +20,12 @@
 	readonly open: (onTurn: () => void) => GovernedReader;
 };
 
-type ReaderState = {readonly onTurn: () => void; passWorkMs: number; isWaiting: boolean; isInTurn: boolean};
+type ReaderState = {readonly onTurn: () => void; readonly recent: RecentTurns; passWorkMs: number; isWaiting: boolean; isInTurn: boolean};
 
 /** Creates a governor without connections. */
 export function createReadGovernor(): ReadGovernor {
 	const turns = createReadTurns();
+	const window = createReadWindow();
 	const readers = new Map<number, ReaderState>();
 	/** Connections with work in the present pass of the event loop. */
 	const activeReaders = new Set<ReaderState>();
@@ -58,6 +59,7 @@
 			return;
 		}
 
+		countTurn(reader.recent, performance.now());
 		reader.isWaiting = false;
 		reader.isInTurn = true;
 		reader.passWorkMs = 0;
@@ -77,20 +79,26 @@
 			lastReaderId += 1;
 			const readerId = lastReaderId;
 			const reader: ReaderState = {
-				onTurn, passWorkMs: 0, isWaiting: false, isInTurn: false,
+				onTurn, recent: {count: 0, atMs: 0}, passWorkMs: 0, isWaiting: false, isInTurn: false,
 			};
 			readers.set(readerId, reader);
 
 			const enqueue = () => {
 				reader.isWaiting = true;
-				enqueueConnection(turns, readerId, {isRepeated: reader.isInTurn});
+				const nowMs = performance.now();
+				enqueueConnection(turns, readerId, {recentTurns: computeRecentTurns(reader.recent, nowMs), nowMs});
 				scheduleTurn();
 			};
 
 			return {
 				record(workMs) {
 					reader.passWorkMs += workMs;
-					if (reader.isInTurn || activeReaders.has(reader)) {
+					if (reader.isInTurn) {
+						return;
+					}
+
+					recordReadWork(window, readerId, workMs);
+					if (activeReaders.has(reader)) {
 						return;
 					}
 
@@ -105,7 +113,10 @@
 						return false;
 					}
 
-					if (reader.passWorkMs < (reader.isInTurn ? TURN_MS : FREE_READ_MS)) {
+					const isFree = reader.isInTurn
+						? reader.passWorkMs < TURN_MS
+						: reader.passWorkMs < FREE_READ_MS && isReadFree(window, readerId, performance.now());
+					if (isFree) {
 						return true;
 					}
 
--- a/packages/runtime/src/governSocket.ts
+++ b/packages/runtime/src/governSocket.ts
@@ -1,14 +1,16 @@
 import {type Socket} from 'node:net';
 import {type ReadGovernor} from './createReadGovernor.js';
 
-/** Bytes that a client reads at first, and again after a slice that cost much. What it parses of one slice cannot be stopped. */
-const SHORT_SLICE_BYTES = 2048;
-/** Bytes that a client reads otherwise: all that a socket buffers. What stays there counts for no call. */
-const LONG_SLICE_BYTES = 65_536;
-/** Time for a slice up to which the next one is long. */
-const CHEAP_SLICE_MS = 0.1;
-/** Time that each byte may take beside what counts: a sound body of any length costs less. */
-const FREE_MS_PER_BYTE = 0.000_02;
+/** Bytes that a client reads at first, and at least. What it parses of one slice cannot be stopped. */
+const MIN_SLICE_BYTES = 2048;
+/** Bytes that a client reads at most: all that a socket buffers. What stays there counts for no call. */
+const MAX_SLICE_BYTES = 65_536;
+/** Time that counts for a slice, by which the length of the next one is chosen. */
+const SLICE_MS = 0.2;
+/** Growth from one slice to the next: what follows may cost more than what came before. */
+const MAX_SLICE_GROWTH = 8;
+/** Time that each byte may take beside what counts. A body in large pieces costs about as much, one in chunks of 64 bytes several times that. */
+const FREE_MS_PER_BYTE = 0.000_005;
 /** Longest time that counts for one slice. More than that, the process did not run. */
 const MAX_SLICE_MS = 10;
 
@@ -18,7 +20,7 @@
  */
 export function governSocket(socket: Socket, governor: ReadGovernor): void {
 	const readSocket = socket.read.bind(socket);
-	let sliceBytes = SHORT_SLICE_BYTES;
+	let sliceBytes = MIN_SLICE_BYTES;
 	let handedAtMs: number | undefined;
 	let handedBytes = 0;
 	const reader = governor.open(() => {
@@ -31,10 +33,10 @@
 			return;
 		}
 
-		const workMs = Math.min(MAX_SLICE_MS, performance.now() - handedAtMs) - (handedBytes * FREE_MS_PER_BYTE);
+		const workMs = Math.max(0, Math.min(MAX_SLICE_MS, performance.now() - handedAtMs) - (handedBytes * FREE_MS_PER_BYTE));
 		handedAtMs = undefined;
-		sliceBytes = workMs > CHEAP_SLICE_MS ? SHORT_SLICE_BYTES : LONG_SLICE_BYTES;
-		reader.record(Math.max(0, workMs));
+		sliceBytes = Math.min(MAX_SLICE_BYTES, Math.max(MIN_SLICE_BYTES, Math.floor(handedBytes * Math.min(MAX_SLICE_GROWTH, SLICE_MS / workMs))));
+		reader.record(workMs);
 	};
 
 	socket.read = size => {
