Take a request that was whole at the first read as sent with its connection

Cause: a connection waits up to 1.4 s to be accepted there, and the sure age of its request was counted from when it was read.

Change: a request of stated length that was whole when its connection was first read was sent when that was opened. Probes of the accept queue, now several at once, tell how late that can have been: what is accepted before a probe that is connected was there before it. Bodies without a stated length count as before, since they may come later than the connection.

--- a/packages/daemon/src/direct/createArrivalMonitor.ts
+++ b/packages/daemon/src/direct/createArrivalMonitor.ts
@@ -14,11 +14,19 @@
 	readonly schedule: (task: () => void) => void;
 	/** Returns the longest time for which a request whose head was parsed just now may have waited unread. */
 	readonly measureUnreadMs: (socket: Socket) => number;
+	/**
+	 * Returns the shortest time since a request that is whole just now was sent, if it was whole when its connection was first
+	 * read: a caller sends it when the connection is open. Zero otherwise.
+	 */
+	readonly measureSentMs: (socket: Socket) => number;
 	/** Returns the longest time for which an event that is handled just now may have waited for the event loop. */
 	readonly measureUnhandledMs: () => number;
 	readonly stop: () => void;
 };
 
+type AcceptedConnection = {readonly atMs: number; readonly openSinceMs: number; readonly connectedByMs: number; readonly passNumber: number};
+type Probe = {readonly socket: Socket; readonly sentAtMs: number; connectedAtMs: number | undefined};
+
 /** Options of {@link createArrivalMonitor}. */
 export type ArrivalMonitorOptions = {
 	/** Called when the event loop runs again, with the time for which it did not. */
@@ -38,6 +46,10 @@
  * after it, since the queue keeps the order of arrival. More than two marks are apart, so a process with little work sends none.
  */
 const MIN_PROBED_MS = 100;
+/** Time between probes. What is accepted before a probe also arrived before it was connected. */
+const PROBE_INTERVAL_MS = 100;
+/** Probes that may wait to be accepted at once. */
+const MAX_PROBES = 20;
 /** Time for which tasks run in one pass. */
 const TASK_TIME_MS = 5;
 
@@ -46,12 +58,16 @@
 	let previousMarkMs = performance.now();
 	let lastMarkMs = previousMarkMs;
 	const tasks: Array<() => void> = [];
-	/** When connections were accepted, and since when they may have waited for that. */
-	const acceptedBySocket = new WeakMap<Socket, {readonly atMs: number; readonly openSinceMs: number}>();
+	/** When connections were accepted, in which pass, and since when and until when at the latest they waited for that. */
+	const acceptedBySocket = new WeakMap<Socket, AcceptedConnection>();
 	/** Time at which no connection waited, while each pass since then accepted one. */
 	let openSinceMs: number | undefined;
 	let hasAccepted = false;
-	let probe: {readonly socket: Socket; readonly sentAtMs: number} | undefined;
+	/** Probes that were not accepted yet, in the order in which they were sent. */
+	const probes: Probe[] = [];
+	let lastProbeAtMs = 0;
+	/** Number of the present pass. It grows in the passes after one that accepted a connection, at least. */
+	let passNumber = 0;
 	let isPassScheduled = false;
 	let deferredSinceMs = 0;
 
@@ -76,13 +92,19 @@
 
 	const sendProbe = () => {
 		const socket = connectToSelf();
-		probe = {socket, sentAtMs: performance.now()};
+		const probe: Probe = {socket, sentAtMs: performance.now(), connectedAtMs: undefined};
+		lastProbeAtMs = probe.sentAtMs;
+		probes.push(probe);
 		const end = () => {
-			if (probe?.socket === socket) {
-				probe = undefined;
+			const index = probes.indexOf(probe);
+			if (index !== -1) {
+				probes.splice(index, 1);
 			}
 		};
 
+		socket.on('connect', () => {
+			probe.connectedAtMs = performance.now();
+		});
 		// A probe that fails leaves the longest wait as it is.
 		socket.on('error', end).on('close', end);
 	};
@@ -96,6 +118,7 @@
 
 	const endPass = () => {
 		isPassScheduled = false;
+		passNumber += 1;
 		const mayWait = hasAccepted;
 		hasAccepted = false;
 		openSinceMs = mayWait ? openSinceMs : undefined;
@@ -112,17 +135,21 @@
 		recordConnection(socket) {
 			// The poll between the last two marks accepted none, so none waited at the earlier one.
 			openSinceMs ??= previousMarkMs;
-			if (probe !== undefined && isOtherEnd(probe.socket, socket)) {
-				openSinceMs = Math.max(openSinceMs, probe.sentAtMs);
-				probe.socket.destroy();
-				probe = undefined;
+			const nowMs = performance.now();
+			const index = probes.findIndex(probe => isOtherEnd(probe.socket, socket));
+			if (index !== -1) {
+				const [probe] = probes.splice(index, 1);
+				openSinceMs = Math.max(openSinceMs, probe!.sentAtMs);
+				probe!.socket.destroy();
 				socket.destroy();
-			} else if (probe === undefined && performance.now() - openSinceMs >= MIN_PROBED_MS) {
+			} else if (probes.length < MAX_PROBES && nowMs - openSinceMs >= MIN_PROBED_MS && nowMs - lastProbeAtMs >= PROBE_INTERVAL_MS) {
 				sendProbe();
 			}
 
 			hasAccepted = true;
-			acceptedBySocket.set(socket, {atMs: performance.now(), openSinceMs});
+			acceptedBySocket.set(socket, {
+				atMs: nowMs, openSinceMs, connectedByMs: probes.find(({connectedAtMs}) => connectedAtMs !== undefined)?.connectedAtMs ?? nowMs, passNumber,
+			});
 			schedulePass();
 		},
 		schedule(task) {
@@ -139,11 +166,17 @@
 			const isNew = accepted !== undefined && accepted.atMs >= previousMarkMs;
 			return performance.now() - (isNew ? Math.min(accepted.openSinceMs, previousMarkMs) : previousMarkMs);
 		},
+		measureSentMs(socket) {
+			const accepted = acceptedBySocket.get(socket);
+			return accepted !== undefined && passNumber <= accepted.passNumber + 1 ? performance.now() - accepted.connectedByMs : 0;
+		},
 		// The poll between the last two marks handled everything that had come at the earlier one.
 		measureUnhandledMs: () => performance.now() - previousMarkMs,
 		stop() {
 			clearInterval(timer);
-			probe?.socket.destroy();
+			for (const {socket} of probes) {
+				socket.destroy();
+			}
 		},
 	};
 }
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -152,7 +152,9 @@
 				return;
 			}
 
-			const completedAtMs = performance.now();
+			// A body whose length its caller did not know may have come later than the connection.
+			const sentMs = incoming.headers['transfer-encoding'] === undefined ? arrivalMonitor.measureSentMs(socket) : 0;
+			const completedAtMs = performance.now() - sentMs;
 			const body = collector.take();
 			held.isReading = false;
 			const handle: CallHandle = {
