Let a lost probe of the accept queue make no request old, and hand targets 1 ms at least

Cause, as supposed: a connection that is accepted before a probe was taken for as old as the probe, also if that one is never accepted. The sure end of the call then lies in the past, and a target reads a time that is not positive as no limit.

Change: a probe from before the accept queue was empty tells nothing; a request is taken as sent at most 1 s before it was read; targets get 1 ms at least.

--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -101,7 +101,8 @@
 			attemptId,
 			target: plan.target.record,
 			customerId: call.customerId,
-			remainingMs: Math.floor(call.lastTimeoutAtMs - nowMs),
+			// A target takes a time that is not positive for no limit.
+			remainingMs: Math.max(1, Math.floor(call.lastTimeoutAtMs - nowMs)),
 			priority: plan.priority ?? toTargetPriority(state, call),
 			isPrefillOnly: plan.isPrefillOnly,
 			handle: plan.handle,
--- a/packages/daemon/src/direct/createArrivalMonitor.ts
+++ b/packages/daemon/src/direct/createArrivalMonitor.ts
@@ -50,6 +50,8 @@
 const PROBE_INTERVAL_MS = 100;
 /** Probes that may wait to be accepted at once. */
 const MAX_PROBES = 20;
+/** Longest time for which a request is taken as sent before it was read. Callers give up a connection of which nothing is read for longer. */
+const MAX_SENT_MS = 1000;
 /** Time for which tasks run in one pass. */
 const TASK_TIME_MS = 5;
 
@@ -109,6 +111,9 @@
 		socket.on('error', end).on('close', end);
 	};
 
+	/** Finds when the first probe that still waits was there. One from before the queue was empty was lost, and tells nothing. */
+	const findConnectedByMs = (sinceMs: number) => probes.find(({connectedAtMs}) => connectedAtMs !== undefined && connectedAtMs >= sinceMs)?.connectedAtMs;
+
 	const schedulePass = () => {
 		if (!isPassScheduled) {
 			isPassScheduled = true;
@@ -148,7 +153,7 @@
 
 			hasAccepted = true;
 			acceptedBySocket.set(socket, {
-				atMs: nowMs, openSinceMs, connectedByMs: probes.find(({connectedAtMs}) => connectedAtMs !== undefined)?.connectedAtMs ?? nowMs, passNumber,
+				atMs: nowMs, openSinceMs, connectedByMs: findConnectedByMs(openSinceMs) ?? nowMs, passNumber,
 			});
 			schedulePass();
 		},
@@ -168,7 +173,7 @@
 		},
 		measureSentMs(socket) {
 			const accepted = acceptedBySocket.get(socket);
-			return accepted !== undefined && passNumber <= accepted.passNumber + 1 ? performance.now() - accepted.connectedByMs : 0;
+			return accepted !== undefined && passNumber <= accepted.passNumber + 1 ? Math.min(MAX_SENT_MS, performance.now() - accepted.connectedByMs) : 0;
 		},
 		// The poll between the last two marks handled everything that had come at the earlier one.
 		measureUnhandledMs: () => performance.now() - previousMarkMs,
