Compute the length of slices in one place, for targets and callers

Cause: governSocket and createCallerThrottle each had the same formula and the same two limits. Change: computeSliceBytes in core/limits serves both; least length and growth stay as they were on either side. Behaviour is the same.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -116,6 +116,7 @@
 export * from './limits/memoryBudget.js';
 export * from './limits/readTurns.js';
 export * from './limits/readWindow.js';
+export * from './limits/sliceLength.js';
 export * from './limits/workWindow.js';
 export * from './limits/targetLimit.js';
 export type * from './membership/serviceVersions.js';
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
+import {computeSliceBytes} from '@damaskspool/core';
 import {type GovernedReader, type ReadGovernor} from '@damaskspool/runtime';
 
 /** Holds back callers whose bytes cost much to read. */
@@ -32,11 +33,7 @@
 const MAX_SLICE_MS = 1;
 /** Bytes that the HTTP server parses at first, and at least. What it parses of one slice cannot be stopped. */
 const MIN_SLICE_BYTES = 1024;
-/** Bytes that it parses at most: all that it reads at once. */
-const MAX_SLICE_BYTES = 65_536;
-/** Time for a slice, by which the length of the next one is chosen. */
-const SLICE_MS = 0.2;
-/** Growth from one slice to the next: what follows may cost more than what came before. */
+/** Growth from one slice to the next. */
 const MAX_SLICE_GROWTH = 4;
 /** Time that counts for a slice of lines. */
 const LINES_MS = 0.1;
@@ -93,7 +90,7 @@
 				const startedAtMs = performance.now();
 				parse!.call(socket, slice);
 				const workMs = Math.min(MAX_SLICE_MS, performance.now() - startedAtMs);
-				sliceBytes = Math.min(MAX_SLICE_BYTES, Math.max(MIN_SLICE_BYTES, Math.floor(slice.length * Math.min(MAX_SLICE_GROWTH, SLICE_MS / workMs))));
+				sliceBytes = computeSliceBytes({bytes: slice.length, workMs}, {minBytes: MIN_SLICE_BYTES, maxGrowth: MAX_SLICE_GROWTH});
 				recordWork(connection, Math.max(connection.partCount === 0 ? LINES_MS : 0, workMs - (connection.partCount * PART_MS)));
 			}
 
--- a/packages/runtime/src/governSocket.ts
+++ b/packages/runtime/src/governSocket.ts
@@ -1,13 +1,10 @@
 import {type Socket} from 'node:net';
+import {computeSliceBytes} from '@damaskspool/core';
 import {type ReadGovernor} from './createReadGovernor.js';
 
 /** Bytes that a client reads at first, and at least. What it parses of one slice cannot be stopped. */
 const MIN_SLICE_BYTES = 2048;
-/** Bytes that a client reads at most: all that a socket buffers. What stays there counts for no call. */
-const MAX_SLICE_BYTES = 65_536;
-/** Time that counts for a slice, by which the length of the next one is chosen. */
-const SLICE_MS = 0.2;
-/** Growth from one slice to the next: what follows may cost more than what came before. */
+/** Growth from one slice to the next. */
 const MAX_SLICE_GROWTH = 8;
 /** Time that each byte may take beside what counts. A body in large pieces costs about as much, one in chunks of 64 bytes several times that. */
 const FREE_MS_PER_BYTE = 0.000_005;
@@ -35,7 +32,7 @@
 
 		const workMs = Math.max(0, Math.min(MAX_SLICE_MS, performance.now() - handedAtMs) - (handedBytes * FREE_MS_PER_BYTE));
 		handedAtMs = undefined;
-		sliceBytes = Math.min(MAX_SLICE_BYTES, Math.max(MIN_SLICE_BYTES, Math.floor(handedBytes * Math.min(MAX_SLICE_GROWTH, SLICE_MS / workMs))));
+		sliceBytes = computeSliceBytes({bytes: handedBytes, workMs}, {minBytes: MIN_SLICE_BYTES, maxGrowth: MAX_SLICE_GROWTH});
 		reader.record(workMs);
 	};
 
