Log how far a request had come, and who closed, when its answer did not leave whole

Callers saw streams of which no whole answer came around SIGTERM, and no line of the entries named them. Four ways led there without a line that tells them apart: a caller that closes or half closes, an error of the connection, an answer that was complete and not handed to the operating system, and the end of the process.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -106,11 +106,11 @@
 			return;
 		}
 
-		connections.recordRequest(response, socket);
+		const request = ports.parseCallerRequest(incoming);
+		connections.recordRequest(response, socket, request.call.requestId);
 		// The longest time that a request may have waited is mostly more than it did, so a lag that is common at work is not counted.
 		const unreadMs = Math.max(0, arrivalMonitor.measureUnreadMs(socket) - MAX_EVENT_LOOP_LAG_MS);
 		const arrivedAtMs = performance.now() - unreadMs;
-		const request = ports.parseCallerRequest(incoming);
 		const maxBodyBytes = findLimits()?.bodyBytes ?? INITIAL_LIMITS.bodyBytes;
 		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
 		if (declaredBytes <= maxBodyBytes && !memoryLedger.mayAdmit(declaredBytes)) {
@@ -156,6 +156,7 @@
 			const sentMs = incoming.headers['transfer-encoding'] === undefined ? arrivalMonitor.measureSentMs(socket) : 0;
 			const completedAtMs = performance.now() - sentMs;
 			const body = collector.take();
+			connections.recordComplete(response);
 			held.isReading = false;
 			const handle: CallHandle = {
 				callId, request, body, response, held, sentForm: SENT_FORMS.nothing, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
@@ -184,6 +185,7 @@
 				arrivalMonitor.schedule(() => {
 					if (!response.destroyed) {
 						const nowMs = performance.now();
+						connections.recordCall(response);
 						onCall(handle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
 					}
 				});
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -5,7 +5,13 @@
 export type ConnectionTracker = {
 	readonly recordConnection: (socket: Socket) => void;
 	/** Records a request from its head on, until its answer has been handed to the operating system or its connection is gone. */
-	readonly recordRequest: (response: ServerResponse, socket: Socket) => void;
+	readonly recordRequest: (response: ServerResponse, socket: Socket, requestId: string) => void;
+	/** Records that the body of a request is complete. */
+	readonly recordComplete: (response: ServerResponse) => void;
+	/** Records that a request was passed to the reducer. */
+	readonly recordCall: (response: ServerResponse) => void;
+	/** Counts the connections that are open, and those of them that have sent part of a request. */
+	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
 	/** Returns the number of requests that are being read or answered. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
@@ -20,34 +26,94 @@
 	readonly closeIdle: () => void;
 };
 
+/** How far a request had come when its connection closed. */
+export const REQUEST_STAGES = {
+	/** Its body was being read. */
+	reading: 'reading',
+	/** It was complete and waited to become a call. */
+	waiting: 'waiting',
+	/** It was a call. */
+	called: 'called',
+	/** Its answer was complete, and not handed to the operating system. */
+	answered: 'answered',
+} as const;
+
+export type RequestStage = typeof REQUEST_STAGES[keyof typeof REQUEST_STAGES];
+
+/** A request whose connection closed before its whole answer was handed to the operating system. */
+export type CutRequest = {
+	readonly requestId: string;
+	readonly stage: RequestStage;
+	/** `caller` if the caller ended or reset its side, `entry` otherwise. */
+	readonly closedBy: 'caller' | 'entry';
+	/** Code of the error of the connection, if there was one. */
+	readonly errorCode: string | undefined;
+	readonly isHeadSent: boolean;
+	/** Bytes of the answer that the operating system took, and those that it did not. */
+	readonly sentBytes: number;
+	readonly unsentBytes: number;
+};
+
+/** Options of {@link createConnectionTracker}. */
+export type ConnectionTrackerOptions = {
+	readonly onCut: (request: CutRequest) => void;
+};
+
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void};
+type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedRequest = {stage: RequestStage};
+
+/** Codes of errors that a caller causes by closing its connection. */
+const CALLER_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
 /**
  * Creates an empty tracker. The server's own count of idle connections is not enough for a stop: it includes those whose
  * answer was written but not read by a slow caller.
  */
-export function createConnectionTracker(): ConnectionTracker {
+export function createConnectionTracker({onCut}: ConnectionTrackerOptions): ConnectionTracker {
 	const connections = new Map<Socket, TrackedConnection>();
-	const responses = new Set<ServerResponse>();
+	const requests = new Map<ServerResponse, TrackedRequest>();
 	let isStopping = false;
 	return {
 		recordConnection(socket) {
-			connections.set(socket, {answeredBytes: 0, openRequests: 0});
+			const connection: TrackedConnection = {
+				answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+			};
+			connections.set(socket, connection);
+			socket.on('end', () => {
+				connection.isEndedByCaller = true;
+			});
+			socket.on('error', ({code}: NodeJS.ErrnoException) => {
+				connection.errorCode = code;
+			});
 			socket.on('close', () => {
 				connections.delete(socket);
 			});
 		},
-		recordRequest(response, socket) {
+		recordRequest(response, socket, requestId) {
 			const connection = connections.get(socket);
 			if (connection === undefined) {
 				return;
 			}
 
+			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
+			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
-			responses.add(response);
+			requests.set(response, request);
 			response.on('close', () => {
-				responses.delete(response);
+				requests.delete(response);
+				if (!response.writableFinished) {
+					onCut({
+						requestId,
+						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
+						closedBy: connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '') ? 'caller' : 'entry',
+						errorCode: connection.errorCode,
+						isHeadSent: response.headersSent,
+						sentBytes: socket.bytesWritten - socket.writableLength - sentBefore,
+						unsentBytes: socket.writableLength,
+					});
+				}
+
 				connection.openRequests -= 1;
 				connection.answeredBytes = socket.bytesRead;
 				// The head of an answer that began before the stop does not announce it.
@@ -59,7 +125,23 @@
 				}
 			});
 		},
-		countRequests: () => responses.size,
+		recordComplete(response) {
+			const request = requests.get(response);
+			if (request !== undefined) {
+				request.stage = REQUEST_STAGES.waiting;
+			}
+		},
+		recordCall(response) {
+			const request = requests.get(response);
+			if (request !== undefined) {
+				request.stage = REQUEST_STAGES.called;
+			}
+		},
+		describeOpen: () => ({
+			openConnections: connections.size,
+			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
+		}),
+		countRequests: () => requests.size,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
 			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
@@ -71,7 +153,7 @@
 		},
 		beginStop() {
 			isStopping = true;
-			for (const response of responses) {
+			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
 				response.shouldKeepAlive = false;
 			}
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -106,7 +106,12 @@
 		},
 	});
 	const pools = createTargetPools({readGovernor});
-	const connections = createConnectionTracker();
+	const connections = createConnectionTracker({
+		onCut({requestId, ...cut}) {
+			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"}`);
+			logger.info('answer.cut', {subject: requestId, ...cut, isStopping: state.isStopping});
+		},
+	});
 	let isStopped = false;
 	/** Whether this entry has been ready since its start. */
 	let wasReady = false;
@@ -328,6 +333,9 @@
 				server: callerServer.server,
 				connections,
 				endsAtMs,
+				onClosing() {
+					logger.info('stop.closing', {calls: state.calls.size, requests: connections.countRequests(), ...connections.describeOpen()});
+				},
 				onGraceEnded() {
 					logger.warn('stop.graceEnded', {calls: state.calls.size, takeUps: state.takeUps.size, requests: connections.countRequests()});
 					loop.dispatch({type: 'stop.graceEnded'});
--- a/packages/daemon/src/direct/drainCallers.ts
+++ b/packages/daemon/src/direct/drainCallers.ts
@@ -16,10 +16,12 @@
 	readonly endsAtMs: number;
 	/** Ends the requests that are still in progress, with an answer where that is possible. */
 	readonly onGraceEnded: () => void;
+	/** Called before all connections that are left are closed. */
+	readonly onClosing: () => void;
 };
 
 /** Accepts no further connection, waits until no request is in progress or the grace ends, and closes all connections. */
-export async function drainCallers({server, connections, endsAtMs, onGraceEnded}: DrainOptions): Promise<void> {
+export async function drainCallers({server, connections, endsAtMs, onGraceEnded, onClosing}: DrainOptions): Promise<void> {
 	const closed = new Promise<void>(resolve => {
 		// The HTTP server's own method also destroys connections whose answer is not read yet.
 		NetServer.prototype.close.call(server, () => {
@@ -32,6 +34,7 @@
 		await waitUntilIdle(connections, performance.now() + FLUSH_MS);
 	}
 
+	onClosing();
 	server.closeAllConnections();
 	await closed;
 }
