Read all lines of a caller's head

Callers with 1,000 or more short lines in front of their host, key, identifier and deadline got a bare 400; a take-up with its last-event-id behind 1,100 lines got its stream from the beginning. The HTTP server keeps about 1,000 lines of a head and drops the others without a word. It now keeps all; what limits a head is its bytes.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -201,6 +201,8 @@
 		requestTimeout: 0,
 		noDelay: true,
 	}, receive);
+	// What holds is the limit of bytes. Lines beyond a number would be dropped, and with them a key, a length or a deadline.
+	server.maxHeadersCount = 0;
 	server.on('connection', socket => {
 		connections.recordConnection(socket);
 		throttle.recordConnection(socket);
