Hand callers' requests to the HTTP parser one at a time, in turns

Callers of one connection or many could take the event loop with heads of very many lines, with chunks of one byte, or with requests that they send without waiting, and what the parser made of these was counted by nothing. How a body is delimited stays the HTTP parser's decision, and a connection on which the two disagree is closed.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -8,13 +8,14 @@
 	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
 } from '@damaskspool/core';
 import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
-import {createFailure, ERROR_CODES} from '@damaskspool/shared';
+import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallerThrottle} from './createCallerThrottle.js';
 import {type ConnectionTracker} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
-import {writeRefusal} from './writeRefusal.js';
+import {type HeldRequest} from './createRequestReader.js';
+import {writeRefusal, writeUnparsedRefusal} from './writeRefusal.js';
 
 /** Options of {@link createCallerServer}. */
 export type CallerServerOptions = {
@@ -31,14 +32,14 @@
 	readonly onOverloaded: (requestId: string, lagMs: number) => void;
 	/** Called with a request that is refused before its body is read, because memory is short. */
 	readonly onBodyRefused: (requestId: string, bodyBytes: number) => void;
-	/** Called once for a connection that sends requests without waiting for their answers. */
-	readonly onCrowded: () => void;
+	/** Called with a request that is refused before it is parsed, because its head waited too long for its turn. */
+	readonly onHeadRefused: (held: HeldRequest) => void;
 	/** Called if the caller disconnects before the response is complete. */
 	readonly onDisconnected: (callId: number) => void;
 };
 
-/** Maximum size of a request's head; higher than any limit that a configuration sets. */
-const MAX_HEADER_BYTES = 65_536;
+/** Head that the HTTP parser takes. More than any limit that a configuration sets, which holds before the parser reads a head. */
+const MAX_PARSED_HEADER_BYTES = 16_777_216;
 /** Event loop lag above which new requests are refused. Such a lag uses up most of the latency objective of a short prompt. */
 const MAX_EVENT_LOOP_LAG_MS = 150;
 /** Retry delay sent with such a refusal. A freshly started process has caught up by then. */
@@ -47,12 +48,14 @@
 const FINGERPRINT_LENGTH = 12;
 /** Interval between checks for connections that exceed the header timeout. */
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 1000;
-/** Bytes of a connection without a request. More than the largest head. */
-const MAX_UNPRODUCTIVE_BYTES = 2 * MAX_HEADER_BYTES;
+/** Line breaks before a request that are read, beside its head. */
+const MAX_LEADING_BYTES = 65_536;
 /** Interval between checks for connections that send more. */
 const UNPRODUCTIVE_CHECK_INTERVAL_MS = 50;
-/** Requests of one connection that may be under way at once. Callers wait for an answer before they send the next request. */
-const MAX_OPEN_REQUESTS = 4;
+/** Time for which a whole head may wait for its turn. Longer than one caller alone waits, and short against the timeouts of routes. */
+const MAX_HEAD_WAIT_MS = 1000;
+/** Interval between checks for heads that wait. */
+const HELD_CHECK_INTERVAL_MS = 100;
 /** Status lines for what the HTTP server rejects because it is too long or comes too slowly, by code of the error. */
 const REJECTION_STATUSES: Readonly<Record<string, string>> = {
 	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
@@ -60,7 +63,9 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 /** Limits that apply until a configuration is known. */
-const INITIAL_LIMITS = {bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000} as const;
+const INITIAL_LIMITS = {
+	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000,
+} as const;
 
 /** HTTP server for callers. */
 export type CallerServer = {
@@ -69,6 +74,10 @@
 	readonly applyLimits: (limits: CallerLimits) => void;
 	/** Refuses the requests whose bodies are still being read. */
 	readonly refuseReading: () => void;
+	/** Returns the requests that are not parsed yet, with the bytes that they hold. */
+	readonly listHeld: () => readonly HeldRequest[];
+	/** Refuses such a request, which no target knows, and closes its connection. */
+	readonly refuseHeld: (held: HeldRequest, failure: Failure) => void;
 };
 
 /**
@@ -77,42 +86,60 @@
  * @returns the server, not listening yet
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onCrowded, onDisconnected} = options;
-	const throttle = createCallerThrottle({readGovernor});
+	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onHeadRefused, onDisconnected} = options;
+	const findMaxHeadBytes = () => findLimits()?.headerBytes ?? INITIAL_LIMITS.headerBytes;
+	const throttle = createCallerThrottle({
+		readGovernor,
+		findMaxHeadBytes,
+		// The longest time that a request may have waited is mostly more than it did, so a lag that is common at work is not counted.
+		measureUnreadMs: socket => Math.max(0, arrivalMonitor.measureUnreadMs(socket) - MAX_EVENT_LOOP_LAG_MS),
+		onRejected(socket, code) {
+			rejectRequest(socket, code);
+		},
+	});
 	let lastCallId = 0;
 	/** Responses to requests whose bodies are being read. */
 	const reading = new Set<ServerResponse>();
 
-	/** Closes a connection behind the answers to the requests that were taken. The others are not read. */
-	const closeCrowded = (socket: Socket) => {
-		if (throttle.isHeldForGood(socket)) {
-			return;
+	const rejectRequest = (socket: Socket, code: string | undefined) => {
+		const end = () => {
+			if (socket.writable && connections.countOpen(socket) === 0) {
+				socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
+			}
+
+			socket.destroy();
+		};
+
+		// A caller that comes back at once with the like of this must not take the time of others.
+		if (code !== undefined && code in REJECTION_STATUSES) {
+			throttle.runInTurn(socket, end);
+		} else {
+			end();
 		}
+	};
 
-		throttle.hold(socket);
-		onCrowded();
-		connections.runOnceAnswered(socket, () => {
-			throttle.runInTurn(socket, () => {
-				socket.destroy();
-			});
-		});
+	/** Refuses a request that is not parsed. It is forgotten first, so that no target gets it. */
+	const refuseHeld = ({socket}: HeldRequest, failure: Failure) => {
+		throttle.findReader(socket)?.discard();
+		writeUnparsedRefusal(socket, {ports, failure});
 	};
 
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
 		const {socket} = incoming;
-		throttle.recordRead(socket);
-		if (connections.countOpen(socket) >= MAX_OPEN_REQUESTS) {
-			closeCrowded(socket);
+		const reader = throttle.findReader(socket);
+		if (reader === undefined) {
+			response.destroy();
 			return;
 		}
 
 		const request = ports.parseCallerRequest(incoming);
+		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
+		const isChunked = incoming.headers['transfer-encoding'] !== undefined;
 		connections.recordRequest(response, socket, request.call.requestId);
-		// The longest time that a request may have waited is mostly more than it did, so a lag that is common at work is not counted.
-		const unreadMs = Math.max(0, arrivalMonitor.measureUnreadMs(socket) - MAX_EVENT_LOOP_LAG_MS);
-		const arrivedAtMs = performance.now() - unreadMs;
+		reader.recordRequest(incoming, response, {contentLength: declaredBytes, isChunked});
+		discardLines(incoming);
+		const {arrivedAtMs} = reader.getTimes();
 		const maxBodyBytes = findLimits()?.bodyBytes ?? INITIAL_LIMITS.bodyBytes;
-		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
 		if (declaredBytes <= maxBodyBytes && !memoryLedger.mayAdmit(declaredBytes)) {
 			onBodyRefused(request.call.requestId, declaredBytes);
 			refuseUnread(response, ports);
@@ -129,7 +156,6 @@
 			reading.delete(response);
 		});
 		incoming.on('data', (chunk: Buffer) => {
-			throttle.recordRead(socket);
 			bytes += chunk.length;
 			held.bodyBytes = bytes;
 			memoryLedger.record(chunk.length);
@@ -153,8 +179,8 @@
 			}
 
 			// A body whose length its caller did not know may have come later than the connection.
-			const sentMs = incoming.headers['transfer-encoding'] === undefined ? arrivalMonitor.measureSentMs(socket) : 0;
-			const completedAtMs = performance.now() - sentMs;
+			const sentMs = isChunked ? 0 : arrivalMonitor.measureSentMs(socket);
+			const completedAtMs = Math.min(performance.now() - sentMs, reader.getTimes().lastReadAtMs);
 			const body = collector.take();
 			connections.recordComplete(response);
 			held.isReading = false;
@@ -194,7 +220,7 @@
 	};
 
 	const server = createServer({
-		maxHeaderSize: MAX_HEADER_BYTES,
+		maxHeaderSize: MAX_PARSED_HEADER_BYTES,
 		connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS,
 		keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs,
 		headersTimeout: INITIAL_LIMITS.headerTimeoutMs,
@@ -204,43 +230,57 @@
 	// What holds is the limit of bytes. Lines beyond a number would be dropped, and with them a key, a length or a deadline.
 	server.maxHeadersCount = 0;
 	server.on('connection', socket => {
-		connections.recordConnection(socket);
-		throttle.recordConnection(socket);
+		connections.recordConnection(socket, throttle.recordConnection(socket));
 		arrivalMonitor.recordConnection(socket);
 	});
 	// The HTTP server tells nothing of bytes before the head of a request, such as line breaks.
 	const unproductiveTimer = setInterval(() => {
-		for (const socket of connections.listUnproductive(MAX_UNPRODUCTIVE_BYTES)) {
+		for (const socket of connections.listUnproductive((2 * findMaxHeadBytes()) + MAX_LEADING_BYTES)) {
 			throttle.runInTurn(socket, () => {
 				socket.destroy();
 			});
 		}
 	}, UNPRODUCTIVE_CHECK_INTERVAL_MS);
 	unproductiveTimer.unref();
+	// The HTTP server knows nothing of heads that are not handed to it.
+	const heldTimer = setInterval(() => {
+		const nowMs = performance.now();
+		for (const held of throttle.listHeld()) {
+			if (held.isWhole && nowMs - held.heldSinceMs > MAX_HEAD_WAIT_MS) {
+				onHeadRefused(held);
+				refuseHeld(held, createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}));
+			} else if (held.isPartial && nowMs - held.heldSinceMs > server.headersTimeout) {
+				rejectRequest(held.socket, 'ERR_HTTP_REQUEST_TIMEOUT');
+			}
+		}
+	}, HELD_CHECK_INTERVAL_MS);
+	heldTimer.unref();
 	server.on('close', () => {
 		clearInterval(unproductiveTimer);
+		clearInterval(heldTimer);
 	});
 	server.on('clientError', ({code}: NodeJS.ErrnoException, socket: Socket) => {
-		const end = () => {
-			if (socket.writable && connections.countOpen(socket) === 0) {
-				socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
-			}
-
-			socket.destroy();
-		};
-
-		// A caller that comes back at once with the like of this must not take the time of others.
-		if (code !== undefined && code in REJECTION_STATUSES) {
-			throttle.runInTurn(socket, end);
-		} else {
-			end();
-		}
+		rejectRequest(socket, code);
+	});
+	// The HTTP server refuses such a request by itself, but its body has to be read.
+	server.on('checkExpectation', (incoming: IncomingMessage, response: ServerResponse) => {
+		response.shouldKeepAlive = false;
+		response.writeHead(417).end();
 	});
 	return {
 		server,
+		listHeld: throttle.listHeld,
+		refuseHeld,
 		refuseReading() {
+			const failure = createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
 			for (const response of reading) {
-				refuseUnread(response, ports, createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS}));
+				refuseUnread(response, ports, failure);
+			}
+
+			for (const held of throttle.listHeld()) {
+				if (held.isWhole) {
+					refuseHeld(held, failure);
+				}
 			}
 		},
 		applyLimits({idleTimeoutMs, headerTimeoutMs}) {
@@ -257,6 +297,12 @@
 	discardRest(response.req);
 }
 
+/** Frees the lines of a head that is parsed. They take many times their bytes. */
+function discardLines(incoming: IncomingMessage): void {
+	incoming.rawHeaders = [];
+	incoming.headers = {};
+}
+
 /** Reads the rest of a body without keeping it, so that its caller can read the answer. */
 function discardRest(incoming: IncomingMessage): void {
 	incoming.removeAllListeners('data').resume();
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -1,115 +1,103 @@
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {computeSliceBytes} from '@damaskspool/core';
 import {type GovernedReader, type ReadGovernor} from '@damaskspool/runtime';
+import {createRequestReader, type HeldRequest, type RequestReader} from './createRequestReader.js';
 
-/** Holds back callers whose bytes cost much to read. */
+/** Holds back callers whose bytes cost much to read, and hands their requests to the HTTP server one at a time for each connection. */
 export type CallerThrottle = {
 	/** Takes over what the HTTP server reads of a new connection. */
-	readonly recordConnection: (socket: Socket) => void;
-	/** Records that a part of a request was just parsed. */
-	readonly recordRead: (socket: Socket) => void;
+	readonly recordConnection: (socket: Socket) => RequestReader;
+	readonly findReader: (socket: Socket) => RequestReader | undefined;
+	/** Returns the requests that the HTTP server does not know yet. */
+	readonly listHeld: () => readonly HeldRequest[];
 	/** Reads nothing more of a connection that is about to be closed. */
 	readonly hold: (socket: Socket) => void;
-	readonly isHeldForGood: (socket: Socket) => boolean;
 	/** Runs a task in the next turn of a connection, of which nothing more is read. */
 	readonly runInTurn: (socket: Socket, task: () => void) => void;
 };
 
+/** Options of {@link createCallerThrottle}. */
+export type CallerThrottleOptions = {
+	readonly readGovernor: ReadGovernor;
+	/** Returns the limit of a head and of trailers. */
+	readonly findMaxHeadBytes: () => number;
+	/** Returns the time for which what was read of a connection just now may have waited. */
+	readonly measureUnreadMs: (socket: Socket) => number;
+	/** Called with the code of an error of the HTTP parser if a connection sends what is no request that may be served. */
+	readonly onRejected: (socket: Socket, code: string) => void;
+};
+
 type HeldConnection = {
-	readonly reader: GovernedReader;
-	/** Parses more, and reads again once all that was read is parsed. */
-	readonly proceed: () => void;
+	readonly governed: GovernedReader;
+	readonly requestReader: RequestReader;
+	/** Pauses or resumes the connection. */
+	readonly updateReading: () => void;
 	isHeld: boolean;
 	isHeldForGood: boolean;
 	task: (() => void) | undefined;
-	/** Parts of requests in the present slice. */
-	partCount: number;
 };
 
-/** Time that counts at least for a part of a request. Some parts are taken after the slice that holds them. */
-const PART_MS = 0.005;
-/** Longest time that counts for a slice beside its parts. More than that, the process did not run, and a caller that is held back cannot be seen to leave. */
-const MAX_SLICE_MS = 1;
-/** Bytes that the HTTP server parses at first, and at least. What it parses of one slice cannot be stopped. */
-const MIN_SLICE_BYTES = 1024;
-/** Growth from one slice to the next. */
-const MAX_SLICE_GROWTH = 4;
-/** Time that counts for a slice of lines. */
-const LINES_MS = 0.1;
+/** Time that counts at least for a step. Some work on what it reads comes after it. */
+const STEP_MS = 0.005;
 /** Time that counts for a connection whose task ran in a turn: parsing what the HTTP server rejects. */
 const TASK_MS = 2;
 
 /** Creates a throttle for the connections of an entry to its callers. */
-export function createCallerThrottle({readGovernor}: {readonly readGovernor: ReadGovernor}): CallerThrottle {
-	const connections = new WeakMap<Socket, HeldConnection>();
+export function createCallerThrottle({readGovernor, findMaxHeadBytes, measureUnreadMs, onRejected}: CallerThrottleOptions): CallerThrottle {
+	const connections = new Map<Socket, HeldConnection>();
 
 	const hold = (socket: Socket) => {
 		const connection = connections.get(socket);
 		if (connection !== undefined) {
 			connection.isHeld = true;
 			connection.isHeldForGood = true;
-			connection.proceed();
+			connection.updateReading();
 		}
 	};
 
-	const recordWork = (connection: HeldConnection, workMs: number) => {
-		if (connection.isHeld) {
-			return;
-		}
-
-		connection.reader.record(workMs);
-		if (!connection.reader.mayRead()) {
-			connection.isHeld = true;
-		}
-	};
-
-	/**
-	 * Hands what is read of a connection to the HTTP server in slices, within the time that the governor allows.
-	 *
-	 * @returns a function that goes on with it
-	 */
-	const sliceReads = (socket: Socket, findConnection: () => HeldConnection): (() => void) => {
+	/** Hands what is read of a connection to its reader, and holds the connection as long as bytes of it wait. */
+	const governReads = (socket: Socket, findConnection: () => HeldConnection): Pick<HeldConnection, 'requestReader' | 'updateReading'> => {
 		const [parse] = socket.listeners('data') as Array<(bytes: Buffer) => void>;
-		let unparsed: Buffer | undefined;
-		let sliceBytes = MIN_SLICE_BYTES;
-		let isParsing = false;
 		let isPausedByServer = false;
 		const pauseSocket = socket.pause.bind(socket);
 		const resumeSocket = socket.resume.bind(socket);
 
-		const mayParse = () => !findConnection().isHeld && !isPausedByServer && !socket.destroyed;
-
-		const parseSlices = () => {
-			const connection = findConnection();
-			isParsing = true;
-			while (unparsed !== undefined && mayParse()) {
-				const slice = unparsed.subarray(0, sliceBytes);
-				unparsed = slice.length < unparsed.length ? unparsed.subarray(slice.length) : undefined;
-				connection.partCount = 0;
-				const startedAtMs = performance.now();
-				parse!.call(socket, slice);
-				const workMs = Math.min(MAX_SLICE_MS, performance.now() - startedAtMs);
-				sliceBytes = computeSliceBytes({bytes: slice.length, workMs}, {minBytes: MIN_SLICE_BYTES, maxGrowth: MAX_SLICE_GROWTH});
-				recordWork(connection, Math.max(connection.partCount === 0 ? LINES_MS : 0, workMs - (connection.partCount * PART_MS)));
-			}
-
-			isParsing = false;
-		};
-
-		const proceed = () => {
-			if (isParsing) {
-				return;
-			}
-
-			parseSlices();
-			if (unparsed === undefined && mayParse()) {
-				resumeSocket();
-			} else {
+		const updateReading = () => {
+			if (findConnection().isHeld || isPausedByServer || !requestReader.mayReceive()) {
 				pauseSocket();
+			} else {
+				resumeSocket();
 			}
 		};
 
+		const requestReader = createRequestReader({
+			socket,
+			parse(bytes) {
+				if (!socket.destroyed) {
+					parse!.call(socket, bytes);
+				}
+			},
+			mayParse: () => !findConnection().isHeld && !isPausedByServer && !socket.destroyed,
+			recordWork(workMs, maxMs) {
+				const connection = findConnection();
+				if (!connection.isHeld) {
+					connection.governed.record(Math.max(STEP_MS, Math.min(maxMs, workMs)));
+					connection.isHeld = !connection.governed.mayRead();
+				}
+			},
+			requestTurn() {
+				const connection = findConnection();
+				connection.isHeld = true;
+				connection.governed.enqueue();
+			},
+			findMaxHeadBytes,
+			measureUnreadMs: () => measureUnreadMs(socket),
+			onRejected(code) {
+				onRejected(socket, code);
+			},
+			onProceeded: updateReading,
+		});
+
 		socket.pause = () => {
 			isPausedByServer = true;
 			return pauseSocket();
@@ -118,56 +106,49 @@
 		// The HTTP server resumes the connection by itself, for instance with each piece of a body.
 		socket.resume = () => {
 			isPausedByServer = false;
-			queueMicrotask(proceed);
+			queueMicrotask(requestReader.proceed);
 			return socket;
 		};
 
 		socket.off('data', parse!);
-		socket.on('data', (bytes: Buffer) => {
-			unparsed = bytes;
-			proceed();
-		});
-		return proceed;
+		socket.on('data', requestReader.receive);
+		return {requestReader, updateReading};
 	};
 
 	return {
 		recordConnection(socket) {
 			const connection: HeldConnection = {
-				reader: readGovernor.open(() => {
+				governed: readGovernor.open(() => {
 					if (connection.task !== undefined) {
 						connection.task();
-						connection.reader.record(TASK_MS);
+						connection.governed.record(TASK_MS);
 					} else if (!connection.isHeldForGood) {
 						connection.isHeld = false;
-						connection.proceed();
+						connection.requestReader.proceed({isTurn: true});
 					}
 				}),
-				proceed: sliceReads(socket, () => connection),
+				...governReads(socket, () => connection),
 				isHeld: false,
 				isHeldForGood: false,
 				task: undefined,
-				partCount: 0,
 			};
 			connections.set(socket, connection);
 			socket.on('close', () => {
-				connection.reader.close();
+				connections.delete(socket);
+				connection.governed.close();
+				connection.requestReader.discard();
 			});
+			return connection.requestReader;
 		},
-		recordRead(socket) {
-			const connection = connections.get(socket);
-			if (connection !== undefined) {
-				connection.partCount += 1;
-				recordWork(connection, PART_MS);
-			}
-		},
+		findReader: socket => connections.get(socket)?.requestReader,
+		listHeld: () => [...connections.values()].map(({requestReader}) => requestReader.findHeld()).filter(held => held !== undefined),
 		hold,
-		isHeldForGood: socket => connections.get(socket)?.isHeldForGood === true,
 		runInTurn(socket, task) {
 			const connection = connections.get(socket);
 			if (connection !== undefined && connection.task === undefined) {
 				connection.task = task;
 				hold(socket);
-				connection.reader.enqueue();
+				connection.governed.enqueue();
 			}
 		},
 	};
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,9 +1,10 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {type RequestReader} from './createRequestReader.js';
 
 /** Connections of callers with the requests on them that are not answered yet. */
 export type ConnectionTracker = {
-	readonly recordConnection: (socket: Socket) => void;
+	readonly recordConnection: (socket: Socket, reader: UnparsedReader) => void;
 	/** Records a request from its head on, until its answer has been handed to the operating system or its connection is gone. */
 	readonly recordRequest: (response: ServerResponse, socket: Socket, requestId: string) => void;
 	/** Records that the body of a request is complete. */
@@ -12,14 +13,12 @@
 	readonly recordCall: (response: ServerResponse) => void;
 	/** Counts the connections that are open, and those of them that have sent part of a request. */
 	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
-	/** Returns the number of requests that are being read or answered. */
+	/** Returns the number of requests that are being read or answered, with those whose whole head waits to be parsed. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
 	readonly countOpen: (socket: Socket) => number;
 	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
-	/** Runs a task once no request of a connection is being read or answered. */
-	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
 	/** From now on, each connection closes behind the answers to the requests that it carries. */
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
@@ -54,13 +53,16 @@
 	readonly unsentBytes: number;
 };
 
+/** Tells what a connection holds of a request that is not parsed yet. */
+export type UnparsedReader = Pick<RequestReader, 'countHeldBytes' | 'isHeadWhole'>;
+
 /** Options of {@link createConnectionTracker}. */
 export type ConnectionTrackerOptions = {
 	readonly onCut: (request: CutRequest) => void;
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedConnection = {readonly reader: UnparsedReader; answeredBytes: number; openRequests: number; isEndedByCaller: boolean; errorCode: string | undefined};
 type TrackedRequest = {stage: RequestStage};
 
 /** Codes of errors that a caller causes by closing its connection. */
@@ -75,9 +77,9 @@
 	const requests = new Map<ServerResponse, TrackedRequest>();
 	let isStopping = false;
 	return {
-		recordConnection(socket) {
+		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
-				answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+				reader, answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -96,6 +98,7 @@
 				return;
 			}
 
+			const {reader} = connection;
 			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
@@ -115,13 +118,10 @@
 				}
 
 				connection.openRequests -= 1;
-				connection.answeredBytes = socket.bytesRead;
-				// The head of an answer that began before the stop does not announce it.
-				if (connection.openRequests === 0) {
-					connection.taskOnceAnswered?.();
-					if (isStopping) {
-						socket.destroySoon();
-					}
+				connection.answeredBytes = socket.bytesRead - reader.countHeldBytes();
+				// The head of an answer that began before the stop does not announce it. A request that was sent ahead meanwhile is answered.
+				if (isStopping && connection.openRequests === 0 && reader.countHeldBytes() === 0) {
+					socket.destroySoon();
 				}
 			});
 		},
@@ -141,16 +141,10 @@
 			openConnections: connections.size,
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
 		}),
-		countRequests: () => requests.size,
+		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
 			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
-		runOnceAnswered(socket, task) {
-			const connection = connections.get(socket);
-			if (connection !== undefined) {
-				connection.taskOnceAnswered = task;
-			}
-		},
 		beginStop() {
 			isStopping = true;
 			for (const response of requests.keys()) {
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -256,9 +256,9 @@
 				subject: requestId, code: ERROR_CODES.overloaded, bodyBytes, heldBytes: memoryLedger.measure(),
 			});
 		},
-		onCrowded() {
-			metrics.count('connections_crowded');
-			logger.warn('connection.crowded', {});
+		onHeadRefused({heldBytes, heldSinceMs}) {
+			metrics.count(`refusals{code="${ERROR_CODES.overloaded}"}`);
+			logger.warn('head.refused', {heldBytes, waitedMs: Math.round(performance.now() - heldSinceMs)});
 		},
 		onDisconnected(callId) {
 			loop.dispatch({type: 'call.disconnected', callId});
--- a/packages/daemon/src/direct/writeRefusal.ts
+++ b/packages/daemon/src/direct/writeRefusal.ts
@@ -1,4 +1,6 @@
-import {type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {type ServerResponse, STATUS_CODES} from 'node:http';
+import {type Socket} from 'node:net';
 import {type DeploymentPorts} from '@damaskspool/runtime';
 import {ERROR_DESCRIPTIONS, type Failure} from '@damaskspool/shared';
 
@@ -20,11 +22,31 @@
 		return;
 	}
 
-	const body = JSON.stringify({error: {code: failure.code, outcome: failure.outcome, message: failure.message}});
-	response.writeHead(ERROR_DESCRIPTIONS[failure.code].status, {
-		'content-type': 'application/json',
-		'content-length': body.length,
-		...ports.formatRefusalHeaders(failure.retryAfterMs),
-	});
+	const {status, headers, body} = formatRefusal(failure, ports);
+	response.writeHead(status, headers);
 	response.end(body);
 }
+
+/** Refuses a request that is not parsed yet, and closes its connection behind the answer. No other answer may be under way on it. */
+export function writeUnparsedRefusal(socket: Socket, {ports, failure}: Omit<RefusalOptions, 'response'>): void {
+	const {status, headers, body} = formatRefusal(failure, ports);
+	const lines = Object.entries({...headers, connection: 'close'}).map(([name, value]) => `${name}: ${value}\r\n`);
+	if (socket.writable) {
+		socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${lines.join('')}\r\n${body}`);
+	}
+
+	socket.destroySoon();
+}
+
+function formatRefusal(failure: Failure, ports: RefusalOptions['ports']) {
+	const body = JSON.stringify({error: {code: failure.code, outcome: failure.outcome, message: failure.message}});
+	return {
+		status: ERROR_DESCRIPTIONS[failure.code].status,
+		headers: {
+			'content-type': 'application/json',
+			'content-length': Buffer.byteLength(body),
+			...ports.formatRefusalHeaders(failure.retryAfterMs),
+		},
+		body,
+	};
+}
