Keep a caller's head as one string once it is parsed

The lines of a head were held three times as strings of their own, as raw lines, by name and as forwarded lines, until the answer was closed: heads of very many short lines took many times their bytes for each call. The parsed lines are dropped, and the call's record keeps the forwarded lines as one string and splits it for an attempt.

--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -45,8 +45,8 @@
 export type CallerRequest = {
 	readonly call: Omit<CallRequest, 'bodyBytes' | 'fingerprint'>;
 	readonly method: string;
-	/** Headers to forward to the target, as alternating names and values. */
-	readonly headers: readonly string[];
+	/** Headers to forward to the target, as alternating names and values that are separated by line feeds. One string takes a small part of the memory of many. */
+	readonly headerLines: string;
 	/** Identifier of the last event that the caller received, if it resumes a stream. */
 	readonly lastEventId: string | undefined;
 };
