Answer a request whole although its caller sends something wrong behind it

What callers saw: a connection closed without an answer to a request that a target was running (LOST), logged as a call that its caller left.

Cause: what the HTTP server rejects destroyed the connection at once, also while the answer to the request before was under way.

The rejection now waits for the answers that are due, and the connection closes as behind any answer, so that the rejection reaches the caller as well.

closedConnections.test.js: the three new tests got no byte before, and pass now. endlessRequests and malformedMessages pass. Whether the users' callers send such bytes is not known.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -229,9 +229,16 @@
 				socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
 			}
 
-			socket.destroy();
+			socket.destroySoon();
 		};
 
+		if (socket.writable && connections.countOpen(socket) > 0) {
+			// The answers to the requests before are still due.
+			throttle.hold(socket);
+			connections.runOnceAnswered(socket, end);
+			return;
+		}
+
 		// A caller that comes back at once with the like of this must not take the time of others.
 		if (code !== undefined && code in REJECTION_STATUSES) {
 			throttle.runInTurn(socket, end);
