--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -103,11 +103,13 @@
 
 	const rejectRequest = (socket: Socket, code: string | undefined) => {
 		const end = () => {
-			if (socket.writable && connections.countOpen(socket) === 0) {
-				socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
+			if (!socket.writable || connections.countOpen(socket) > 0) {
+				socket.destroy();
+				return;
 			}
 
-			socket.destroy();
+			socket.write(`HTTP/1.1 ${REJECTION_STATUSES[code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
+			socket.destroySoon();
 		};
 
 		// A caller that comes back at once with the like of this must not take the time of others.
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -77,7 +77,7 @@
 					parse!.call(socket, bytes);
 				}
 			},
-			mayParse: () => !findConnection().isHeld && !isPausedByServer && !socket.destroyed,
+			mayParse: () => !findConnection().isHeld && !isPausedByServer && !socket.writableEnded && !socket.destroyed,
 			recordWork(workMs, maxMs) {
 				const connection = findConnection();
 				if (!connection.isHeld) {
@@ -111,7 +111,12 @@
 		};
 
 		socket.off('data', parse!);
-		socket.on('data', requestReader.receive);
+		socket.on('data', (bytes: Buffer) => {
+			// What comes once the connection closes behind an answer is read, so that it does not reset the connection, and ignored.
+			if (!socket.writableEnded) {
+				requestReader.receive(bytes);
+			}
+		});
 		return {requestReader, updateReading};
 	};
 
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {createLingeringClose, type LingeringClose} from './createLingeringClose.js';
 import {type RequestReader} from './createRequestReader.js';
 
 /** Connections of callers with the requests on them that are not answered yet. */
@@ -23,6 +24,8 @@
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
 	readonly closeIdle: () => void;
+	/** Returns the number of connections that are closed once their last answer has surely been delivered. */
+	readonly countLingering: () => number;
 };
 
 /** How far a request had come when its connection closed. */
@@ -62,7 +65,14 @@
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {readonly reader: UnparsedReader; answeredBytes: number; openRequests: number; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedConnection = {
+	readonly reader: UnparsedReader;
+	readonly lingeringClose: LingeringClose;
+	answeredBytes: number;
+	openRequests: number;
+	isEndedByCaller: boolean;
+	errorCode: string | undefined;
+};
 type TrackedRequest = {stage: RequestStage};
 
 /** Codes of errors that a caller causes by closing its connection. */
@@ -79,7 +89,7 @@
 	return {
 		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
-				reader, answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+				reader, lingeringClose: createLingeringClose(socket), answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -105,7 +115,9 @@
 			requests.set(response, request);
 			response.on('close', () => {
 				requests.delete(response);
-				if (!response.writableFinished) {
+				if (response.writableFinished) {
+					connection.lingeringClose.recordAnswer();
+				} else {
 					onCut({
 						requestId,
 						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
@@ -121,7 +133,7 @@
 				connection.answeredBytes = socket.bytesRead - reader.countHeldBytes();
 				// The head of an answer that began before the stop does not announce it. A request that was sent ahead meanwhile is answered.
 				if (isStopping && connection.openRequests === 0 && reader.countHeldBytes() === 0) {
-					socket.destroySoon();
+					connection.lingeringClose.close();
 				}
 			});
 		},
@@ -142,6 +154,7 @@
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
 		}),
 		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
+		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
 			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
@@ -153,9 +166,9 @@
 			}
 		},
 		closeIdle() {
-			for (const [socket, {answeredBytes, openRequests}] of connections) {
+			for (const [socket, {answeredBytes, openRequests, lingeringClose}] of connections) {
 				if (openRequests === 0 && socket.bytesRead === answeredBytes) {
-					socket.destroySoon();
+					lingeringClose.close();
 				}
 			}
 		},
