--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -10,6 +10,8 @@
 
 /** Test files that run concurrently; each may start a dozen processes. */
 const CONCURRENCY = 4;
+/** Test files that run one at a time after the others: they bring a process to the end of its memory. */
+const ALONE = /\.alone\.test\.js$/v;
 /** Time limit of one test file; only ends a run that hangs. */
 const FILE_LIMIT_MS = 240_000;
 
@@ -24,39 +26,50 @@
 let passed = 0;
 let failed = 0;
 let knownFailures = 0;
-const stream = run({files, concurrency: CONCURRENCY, timeout: FILE_LIMIT_MS});
-stream.on('test:pass', ({details, name}) => {
-	if (details.type !== 'suite' && !isFileEntry(name)) {
-		passed += 1;
-	}
-});
-stream.on('test:fail', ({details, name, file}) => {
-	if (details.type === 'suite' || details.error?.failureType === 'subtestsFailed') {
-		return;
-	}
+await runFiles(files.filter(file => !ALONE.test(file)), CONCURRENCY);
+await runFiles(files.filter(file => ALONE.test(file)), 1);
+if (knownFailures > 0) {
+	console.log(`${knownFailures} known to be red, see KNOWN-RED.txt`);
+}
 
-	if (knownRedTests.has(name)) {
-		knownFailures += 1;
-		console.log(`known red: ${name}`);
+console.log(`${passed} passed, ${failed} failed`);
+process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
+
+/** Runs test files, and adds their results to the counts. */
+async function runFiles(runnable, concurrency) {
+	if (runnable.length === 0) {
 		return;
 	}
 
-	failed += 1;
-	console.log(`FAILED ${name} (${path.relative('.', file ?? '')})`);
-	console.log(details.error?.cause?.stack ?? details.error);
-});
-stream.on('test:stderr', ({message}) => {
-	process.stderr.write(message);
-});
-stream.on('end', () => {
-	if (knownFailures > 0) {
-		console.log(`${knownFailures} known to be red, see KNOWN-RED.txt`);
-	}
+	const stream = run({files: runnable, concurrency, timeout: FILE_LIMIT_MS});
+	stream.on('test:pass', ({details, name}) => {
+		if (details.type !== 'suite' && !isFileEntry(name)) {
+			passed += 1;
+		}
+	});
+	stream.on('test:fail', ({details, name, file}) => {
+		if (details.type === 'suite' || details.error?.failureType === 'subtestsFailed') {
+			return;
+		}
 
-	console.log(`${passed} passed, ${failed} failed`);
-	process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
-});
-stream.resume();
+		if (knownRedTests.has(name)) {
+			knownFailures += 1;
+			console.log(`known red: ${name}`);
+			return;
+		}
+
+		failed += 1;
+		console.log(`FAILED ${name} (${path.relative('.', file ?? '')})`);
+		console.log(details.error?.cause?.stack ?? details.error);
+	});
+	stream.on('test:stderr', ({message}) => {
+		process.stderr.write(message);
+	});
+	await new Promise(resolve => {
+		stream.on('end', resolve);
+		stream.resume();
+	});
+}
 
 /** Checks whether a result is that of a file: Node.js also reports each test file as a test, named by its path. */
 function isFileEntry(name) {
