--- a/packages/daemon/src/direct/createConnectionLimiter.ts
+++ b/packages/daemon/src/direct/createConnectionLimiter.ts
@@ -14,7 +14,7 @@
 	/** Returns the bytes that connections take beside their requests. */
 	readonly measureHeld: () => number;
 	/** Closes stalled heads of requests, or if `mayCloseAll` all connections without a request, until so many bytes are free. */
-	readonly free: (bytes: number, mayCloseAll: boolean) => void;
+	readonly release: (bytes: number, mayCloseAll: boolean) => void;
 	readonly stop: () => void;
 };
 
@@ -41,10 +41,10 @@
 
 type ConnectionProgress = {readonly connectionId: number; stage: ConnectionStage; bytes: number; sinceMs: number};
 
-/** Interval at which progress is noted while many connections are open. */
-const NOTE_INTERVAL_MS = 250;
-/** Share of the limit from which on progress is noted. */
-const NOTED_SHARE = 0.5;
+/** Interval at which progress is recorded while many connections are open. */
+const RECORD_INTERVAL_MS = 250;
+/** Share of the limit from which on progress is recorded. */
+const RECORDED_SHARE = 0.5;
 /** Bytes that count as progress. Fewer keep a connection from closing for nothing. */
 const MIN_PROGRESS_BYTES = 1024;
 /** Time for which no choice is made after one that found no connection to close. */
@@ -67,7 +67,7 @@
 
 	const getLimit = () => computeMaxConnections({maxDescriptors, memoryBytes, targetConnections: countTargetConnections()});
 
-	const noteProgress = ({socket, stage}: OpenConnection, nowMs: number): ConnectionProgress => {
+	const recordProgress = ({socket, stage}: OpenConnection, nowMs: number): ConnectionProgress => {
 		const bytes = socket.bytesRead + socket.bytesWritten - socket.writableLength;
 		const progress = progressBySocket.get(socket);
 		if (progress === undefined) {
@@ -89,7 +89,7 @@
 	};
 
 	const listConnections = (nowMs: number) => connections.listOpen().filter(({socket}) => !closing.has(socket)).map(open => {
-		const {connectionId, sinceMs} = noteProgress(open, nowMs);
+		const {connectionId, sinceMs} = recordProgress(open, nowMs);
 		const connection: CallerConnection = {connectionId, stage: open.stage, sinceMs};
 		return {...open, connection};
 	});
@@ -116,18 +116,18 @@
 		}
 	};
 
-	const noteTimer = setInterval(() => {
-		if (connections.countConnections() >= getLimit() * NOTED_SHARE) {
+	const recordTimer = setInterval(() => {
+		if (connections.countConnections() >= getLimit() * RECORDED_SHARE) {
 			listConnections(performance.now());
 		}
-	}, NOTE_INTERVAL_MS);
+	}, RECORD_INTERVAL_MS);
 	const reportTimer = setInterval(() => {
 		if (Object.values(limited).some(count => count > 0)) {
 			onLimited(limited, getLimit());
 			limited = createNoLimited();
 		}
 	}, REPORT_INTERVAL_MS);
-	noteTimer.unref();
+	recordTimer.unref();
 	reportTimer.unref();
 
 	const countOpen = () => connections.countConnections() - closing.size;
@@ -138,7 +138,7 @@
 			socket.on('close', () => {
 				closing.delete(socket);
 			});
-			noteProgress({socket, stage: CONNECTION_STAGES.head}, nowMs);
+			recordProgress({socket, stage: CONNECTION_STAGES.head}, nowMs);
 			const maxConnections = getLimit();
 			if (countOpen() <= maxConnections) {
 				return;
@@ -165,14 +165,14 @@
 
 			return heldBytes;
 		},
-		free(bytes, mayCloseAll) {
+		release(bytes, mayCloseAll) {
 			const nowMs = performance.now();
 			const open = listConnections(nowMs);
 			const held = open.map(({socket, connection}): HeldCallerConnection => ({...connection, heldBytes: measureConnectionBytes(socket)}));
 			closeChosen(open, chooseFreed(held, {bytes, mayCloseAll}, nowMs));
 		},
 		stop() {
-			clearInterval(noteTimer);
+			clearInterval(recordTimer);
 			clearInterval(reportTimer);
 		},
 	};
