Limit the connections of callers by descriptors and memory

Callers that the platform does not control could open connections without bound and leave them, also with a request whose body never ends. The entry knew nothing of its descriptors (`MaxFds`) and closed such a connection only after its timeout, or never.

The number of open connections now follows from the descriptors, less those for files, targets, store, readiness and peers, and from the memory. When one more comes, those are closed first that have sent nothing or a part of a head for a second, then idle ones by the longest time, then stalled bodies (503, which is true) and unread answers, and last what moves, the oldest first. One whose complete request is not answered is never closed for it; if no other is left, the new one is. A line a second tells the counts.

No test with whole processes is in this commit.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -113,6 +113,7 @@
 export * from './retries/poisonPartTracker.js';
 export * from './retries/poisonRequestTracker.js';
 export * from './usage/medianClock.js';
+export * from './limits/callerConnections.js';
 export * from './limits/memoryBudget.js';
 export * from './limits/readTurns.js';
 export * from './limits/readWindow.js';
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {CONNECTION_STAGES, type ConnectionStage} from '@damaskspool/core';
 
 /** Connections of callers with the requests on them that are not answered yet. */
 export type ConnectionTracker = {
@@ -12,6 +13,12 @@
 	readonly recordCall: (response: ServerResponse) => void;
 	/** Counts the connections that are open, and those of them that have sent part of a request. */
 	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
+	/** Returns the open connections with how far their requests have come. */
+	readonly listOpen: () => readonly OpenConnection[];
+	readonly listSockets: () => Iterable<Socket>;
+	readonly countConnections: () => number;
+	/** Returns the answers to requests of a connection whose bodies are being read. */
+	readonly listReading: (socket: Socket) => readonly ServerResponse[];
 	/** Returns the number of requests that are being read or answered. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
@@ -26,6 +33,9 @@
 	readonly closeIdle: () => void;
 };
 
+/** An open connection, and how far its requests have come. */
+export type OpenConnection = {readonly socket: Socket; readonly stage: ConnectionStage};
+
 /** How far a request had come when its connection closed. */
 export const REQUEST_STAGES = {
 	/** Its body was being read. */
@@ -60,7 +70,7 @@
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedConnection = {answeredBytes: number; openRequests: number; responses: Set<ServerResponse>; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
 type TrackedRequest = {stage: RequestStage};
 
 /** Codes of errors that a caller causes by closing its connection. */
@@ -74,10 +84,26 @@
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
 	let isStopping = false;
+
+	const isReading = (response: ServerResponse) => requests.get(response)?.stage === REQUEST_STAGES.reading && !response.writableEnded;
+
+	const findStage = (socket: Socket, {answeredBytes, responses}: TrackedConnection): ConnectionStage => {
+		if (responses.size === 0) {
+			return answeredBytes > 0 && socket.bytesRead === answeredBytes ? CONNECTION_STAGES.idle : CONNECTION_STAGES.head;
+		}
+
+		const unanswered = [...responses].filter(response => !response.writableEnded);
+		if (unanswered.some(response => !isReading(response))) {
+			return CONNECTION_STAGES.busy;
+		}
+
+		return unanswered.length < responses.size ? CONNECTION_STAGES.unread : CONNECTION_STAGES.body;
+	};
+
 	return {
 		recordConnection(socket) {
 			const connection: TrackedConnection = {
-				answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+				answeredBytes: 0, openRequests: 0, responses: new Set(), isEndedByCaller: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -99,6 +125,7 @@
 			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
+			connection.responses.add(response);
 			requests.set(response, request);
 			response.on('close', () => {
 				requests.delete(response);
@@ -115,6 +142,7 @@
 				}
 
 				connection.openRequests -= 1;
+				connection.responses.delete(response);
 				connection.answeredBytes = socket.bytesRead;
 				// The head of an answer that began before the stop does not announce it.
 				if (connection.openRequests === 0) {
@@ -141,6 +169,10 @@
 			openConnections: connections.size,
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
 		}),
+		listOpen: () => [...connections].filter(([socket]) => !socket.destroyed).map(([socket, connection]) => ({socket, stage: findStage(socket, connection)})),
+		listSockets: () => connections.keys(),
+		countConnections: () => connections.size,
+		listReading: socket => [...connections.get(socket)?.responses ?? []].filter(response => isReading(response)),
 		countRequests: () => requests.size,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -12,6 +12,7 @@
 import {createArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer, refuseUnread} from './createCallerServer.js';
+import {createConnectionLimiter} from './createConnectionLimiter.js';
 import {createConnectionTracker} from './createConnectionTracker.js';
 import {createDutyEffects} from './createDutyEffects.js';
 import {createPartEffects} from './createPartEffects.js';
@@ -91,6 +92,29 @@
 			return connect(Number(port), host);
 		},
 	});
+	const pools = createTargetPools({readGovernor});
+	const connections = createConnectionTracker({
+		onCut({requestId, ...cut}) {
+			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"}`);
+			logger.info('answer.cut', {subject: requestId, ...cut, isStopping: state.isStopping});
+		},
+	});
+	const connectionLimiter = createConnectionLimiter({
+		connections,
+		maxDescriptors: settings.maxDescriptors,
+		memoryBytes: settings.memoryBytes,
+		countTargetConnections: pools.countConnections,
+		refuseReading(response) {
+			refuseUnread(response, ports);
+		},
+		onLimited(limited, maxConnections) {
+			for (const [reason, count] of Object.entries(limited).filter(([, number]) => number > 0)) {
+				metrics.count(`connections_limited{reason="${reason}"}`, count);
+			}
+
+			logger.warn('connections.limited', {...limited, maxConnections, openConnections: connections.countConnections()});
+		},
+	});
 	const memoryLedger = createMemoryLedger({
 		memoryBytes: settings.memoryBytes,
 		onDropped({requestId, response, isReading}, {heldBytes, unreadMs, totalBytes}) {
@@ -105,13 +129,6 @@
 			}
 		},
 	});
-	const pools = createTargetPools({readGovernor});
-	const connections = createConnectionTracker({
-		onCut({requestId, ...cut}) {
-			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"}`);
-			logger.info('answer.cut', {subject: requestId, ...cut, isStopping: state.isStopping});
-		},
-	});
 	let isStopped = false;
 	/** Whether this entry has been ready since its start. */
 	let wasReady = false;
@@ -266,6 +283,8 @@
 		},
 	});
 
+	callerServer.server.on('connection', connectionLimiter.admit);
+
 	const isReady = () => state.configuration !== undefined && state.hasTargets && maySendStreams(state) && !state.isStopping;
 	const handleOperations = createOperationsHandler({
 		metrics,
@@ -273,6 +292,11 @@
 		updateGauges() {
 			metrics.setGauge('calls_under_way', state.calls.size);
 			metrics.setGauge('held_bytes', memoryLedger.measure());
+			metrics.setGauge('connections_open', connections.countConnections());
+			if (Number.isFinite(connectionLimiter.getLimit())) {
+				metrics.setGauge('connections_open_limit', connectionLimiter.getLimit());
+			}
+
 			if (Number.isFinite(memoryLedger.getBudget())) {
 				metrics.setGauge('held_bytes_budget', memoryLedger.getBudget());
 			}
@@ -347,6 +371,7 @@
 			clearInterval(tickTimer);
 			arrivalMonitor.stop();
 			memoryLedger.stop();
+			connectionLimiter.stop();
 			peerDirectory.stop();
 			readinessServer.close();
 			peerLink.close();
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -18,6 +18,8 @@
 	readonly resolve: (target: TargetRecord, maxConnections: number) => Dispatcher;
 	/** Records that a connection failed before a response. Targets may be dropping idle connections, so all idle timeouts are shortened for a while. */
 	readonly recordConnectionFailure: () => void;
+	/** Returns the number of open connections. */
+	readonly countConnections: () => number;
 	/** Closes the pools of all other targets, once their requests have completed. */
 	readonly retain: (targetIds: ReadonlySet<string>) => void;
 	readonly close: () => Promise<void>;
@@ -38,9 +40,14 @@
 /** Creates an empty set of connection pools. */
 export function createTargetPools({readGovernor}: {readonly readGovernor: ReadGovernor}): TargetPools {
 	const progressGuard = createProgressGuard();
+	let openConnections = 0;
 	const resetDetector = createResetDetector({
 		timeoutMs: CONNECT_TIMEOUT_MS,
 		onConnected(socket) {
+			openConnections += 1;
+			socket.once('close', () => {
+				openConnections -= 1;
+			});
 			governSocket(socket, readGovernor);
 			progressGuard.watchSocket(socket);
 		},
@@ -82,6 +89,7 @@
 			});
 			return pool;
 		},
+		countConnections: () => openConnections,
 		recordConnectionFailure() {
 			shortIdleUntilMs = performance.now() + SHORT_IDLE_PERIOD_MS;
 		},
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -148,4 +148,6 @@
 	readonly allotmentTolerance?: AllotmentTolerance | undefined;
 	/** Memory of the instance; undefined if the platform states none. */
 	readonly memoryBytes?: number | undefined;
+	/** File descriptors that the process may have open; undefined if the platform states none. */
+	readonly maxDescriptors?: number | undefined;
 };
