Count connections, heads and chunked bodies in what an entry holds

Callers outside their limits made an entry grow beyond the memory of its instance: open connections, parsed heads and bytes that are no request yet were not counted, chunked bodies were admitted as if they had no length, bodies that stop short of their end kept three quarters of the budget for good, so that every body above 16 kB of others was refused, and the use of the JavaScript heap, which has a limit of its own, was not looked at.

They count now. A chunked body is admitted where it exceeds 16 kB. When a long body was refused, stalled ones are dropped. Above two and a half budgets short bodies are refused too. The budget falls as well when the heap nears its limit.

--- a/packages/core/src/limits/__tests__/memoryBudget.test.ts
+++ b/packages/core/src/limits/__tests__/memoryBudget.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	computeNextBudget, chooseDropped, computeConnectionLimit, computeMemoryBudget, type HeldConnection, mayAdmitBody,
+	computeNextBudget, chooseDropped, chooseStalled, computeConnectionLimit, computeMemoryBudget, estimateHeadBytes, type HeldConnection, mayAdmitBody, mayGrowBody,
 } from '../memoryBudget.js';
 
 const MB = 1_000_000;
@@ -53,6 +53,25 @@
 	});
 });
 
+describe('the room for long bodies', () => {
+	it('is made by dropping what stalls above the share of admitted bodies, and nothing that moves', () => {
+		const held = [
+			{callId: 1, heldBytes: 60, progressedAtMs: NOW_MS - 10},
+			{callId: 2, heldBytes: 10, progressedAtMs: NOW_MS - 2000},
+			{callId: 3, heldBytes: 20, progressedAtMs: NOW_MS - 2000},
+		];
+		assert.deepEqual(chooseStalled(held, {heldBytes: 90, budgetBytes: 100}, NOW_MS), [3, 2]);
+		assert.deepEqual(chooseStalled(held, {heldBytes: 70, budgetBytes: 100}, NOW_MS), []);
+	});
+
+	it('is asked for once by a body of unknown length', () => {
+		const use = {heldBytes: 90, budgetBytes: 100};
+		assert.ok(mayGrowBody(use, 16_384, 1));
+		assert.ok(!mayGrowBody(use, 16_385, 1));
+		assert.ok(mayGrowBody(use, 16_386, 1));
+	});
+});
+
 describe('the memory budget', () => {
 	it('changes nothing where the platform states no memory', () => {
 		const budgetBytes = computeMemoryBudget(undefined);
@@ -68,6 +87,26 @@
 		assert.ok(!mayAdmitBody({heldBytes: budgetBytes, budgetBytes}, MB));
 	});
 
+	it('falls while the heap grows near its own limit', () => {
+		const memoryBytes = 350 * MB;
+		const budgetBytes = computeMemoryBudget(memoryBytes);
+		const adjust = (usedBytes: number) => computeNextBudget({heldBytes: MB, budgetBytes}, {
+			residentBytes: 200 * MB, previousBytes: 200 * MB, heap: {usedBytes, previousBytes: 100 * MB, limitBytes: 160 * MB},
+		}, memoryBytes);
+		assert.ok(adjust(130 * MB) < budgetBytes);
+		assert.equal(adjust(100 * MB), budgetBytes);
+	});
+
+	it('refuses short bodies too once complete requests hold far more than it', () => {
+		const budgetBytes = computeMemoryBudget(210 * MB);
+		assert.ok(!mayAdmitBody({heldBytes: 3 * budgetBytes, budgetBytes}, 1000));
+		assert.equal(mayAdmitBody({heldBytes: 900 * MB, budgetBytes: computeMemoryBudget(undefined)}, 1000), true);
+	});
+
+	it('counts many short lines of a head for more than one long line', () => {
+		assert.ok(estimateHeadBytes(Array.from({length: 4600}, () => 'ab')) > 10 * estimateHeadBytes(['x', 'y'.repeat(9200)]));
+	});
+
 	it('falls while the process grows near its limit, stays while it does not, and rises again below', () => {
 		const memoryBytes = 210 * MB;
 		const full = computeMemoryBudget(memoryBytes);
--- a/packages/core/src/limits/memoryBudget.ts
+++ b/packages/core/src/limits/memoryBudget.ts
@@ -36,8 +36,14 @@
 const AMPLE_SHARE = 0.5;
 /** Share of the budget above which no further long bodies are read. */
 const ADMITTED_SHARE = 0.75;
-/** Length of a body up to which it is always read: callers that read slowly must not keep others from being served. */
+/** Length of a body up to which it is read beyond that share: callers that read slowly must not keep others from being served. */
 const SHORT_BODY_BYTES = 16_384;
+/** Share of the budget up to which short bodies are read. Complete requests that wait for a target are never dropped. */
+const EXHAUSTED_SHARE = 2.5;
+/** Share of the heap's limit from which on growth of the heap lowers the budget. */
+const CROWDED_HEAP_SHARE = 0.75;
+/** Held bytes of each string of a head beside its characters: the string itself and its places in lists. */
+const HEAD_STRING_BYTES = 40;
 /** Share of the budget that is left after connections were dropped. */
 const DROPPED_TO_SHARE = 0.9;
 /** Unread bytes of a connection above which its target waits, while memory is ample. As long as a response that is buffered whole. */
@@ -59,8 +65,12 @@
 		: Math.max(MIN_BUDGET_BYTES, Math.floor(((memoryBytes * PROCESS_SHARE) - PROCESS_BYTES) / RESIDENT_FACTOR));
 }
 
-/** Memory of the process at two measurements in a row, in bytes. */
-export type ResidentMemory = {readonly residentBytes: number; readonly previousBytes: number};
+/** Memory of the process at two measurements in a row, and the use of the JavaScript heap if its limit is known, in bytes. */
+export type ResidentMemory = {
+	readonly residentBytes: number;
+	readonly previousBytes: number;
+	readonly heap?: {readonly usedBytes: number; readonly previousBytes: number; readonly limitBytes: number};
+};
 
 /**
  * Computes the budget that follows from the memory that the process takes in fact. What a held byte costs depends on the sizes of reads and
@@ -70,12 +80,13 @@
  * @param memoryBytes - memory of the instance; undefined if the platform states none
  * @returns the budget from now on
  */
-export function computeNextBudget({heldBytes, budgetBytes}: MemoryUse, {residentBytes, previousBytes}: ResidentMemory, memoryBytes: number | undefined): number {
+export function computeNextBudget({heldBytes, budgetBytes}: MemoryUse, {residentBytes, previousBytes, heap}: ResidentMemory, memoryBytes: number | undefined): number {
 	if (memoryBytes === undefined) {
 		return budgetBytes;
 	}
 
-	if (residentBytes > memoryBytes * CROWDED_SHARE && residentBytes - previousBytes >= MIN_GROWTH_BYTES) {
+	const isHeapCrowded = heap !== undefined && heap.usedBytes > heap.limitBytes * CROWDED_HEAP_SHARE && heap.usedBytes - heap.previousBytes >= MIN_GROWTH_BYTES;
+	if (isHeapCrowded || (residentBytes > memoryBytes * CROWDED_SHARE && residentBytes - previousBytes >= MIN_GROWTH_BYTES)) {
 		return Math.max(MIN_BUDGET_BYTES, Math.min(budgetBytes, heldBytes) * BUDGET_FALL);
 	}
 
@@ -89,7 +100,22 @@
 
 /** Tells whether a request body of this length may be read. */
 export function mayAdmitBody({heldBytes, budgetBytes}: MemoryUse, bodyBytes: number): boolean {
-	return bodyBytes <= SHORT_BODY_BYTES || heldBytes + bodyBytes <= budgetBytes * ADMITTED_SHARE;
+	return heldBytes + bodyBytes <= budgetBytes * (bodyBytes <= SHORT_BODY_BYTES ? EXHAUSTED_SHARE : ADMITTED_SHARE);
+}
+
+/** Tells whether a body of unknown length may be read on when it grows to `bodyBytes`. It is admitted once, where it stops to be short. */
+export function mayGrowBody(use: MemoryUse, bodyBytes: number, addedBytes: number): boolean {
+	return bodyBytes <= SHORT_BODY_BYTES || bodyBytes - addedBytes > SHORT_BODY_BYTES || mayAdmitBody(use, bodyBytes);
+}
+
+/** Estimates the held bytes of header lines, given as names and values. Many short ones cost more than their characters. */
+export function estimateHeadBytes(headers: readonly string[]): number {
+	let bytes = 0;
+	for (const text of headers) {
+		bytes += text.length + HEAD_STRING_BYTES;
+	}
+
+	return bytes;
 }
 
 /**
@@ -122,3 +148,15 @@
 
 	return dropped;
 }
+
+/**
+ * Chooses stalled connections to drop when a long body was refused because of what they hold. They would keep others from being served
+ * without ever exceeding the budget.
+ *
+ * @param connections - those that may be dropped
+ * @param nowMs - current time by the clock of `progressedAtMs`
+ */
+export function chooseStalled(connections: readonly HeldConnection[], {heldBytes, budgetBytes}: MemoryUse, nowMs: number): readonly number[] {
+	const stalled = connections.filter(({progressedAtMs}) => nowMs - progressedAtMs >= STALLED_MS);
+	return chooseDropped(stalled, {heldBytes, budgetBytes: budgetBytes * ADMITTED_SHARE}, nowMs);
+}
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {
-	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
+	type CallerLimits, type CallRequest, estimateHeadBytes, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
 } from '@damaskspool/core';
 import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES} from '@damaskspool/shared';
@@ -121,7 +121,9 @@
 
 		lastCallId += 1;
 		const callId = lastCallId;
-		const held = memoryLedger.add({callId, requestId: request.call.requestId, response});
+		const held = memoryLedger.add({
+			callId, requestId: request.call.requestId, response, headBytes: estimateHeadBytes(request.headers),
+		});
 		const collector = createByteCollector();
 		let bytes = 0;
 		reading.add(response);
@@ -137,6 +139,12 @@
 				return;
 			}
 
+			if (incoming.headers['content-length'] === undefined && !memoryLedger.mayGrow(held, chunk.length)) {
+				onBodyRefused(request.call.requestId, bytes);
+				refuseUnread(response, ports);
+				return;
+			}
+
 			if (bytes > maxBodyBytes) {
 				response.shouldKeepAlive = false;
 				writeRefusal({response, ports, failure: createFailure(ERROR_CODES.bodyTooLarge)});
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -117,6 +117,7 @@
 	});
 	const memoryLedger = createMemoryLedger({
 		memoryBytes: settings.memoryBytes,
+		connections: connectionLimiter,
 		onDropped({requestId, response, isReading}, {heldBytes, unreadMs, totalBytes}) {
 			metrics.count('connections_dropped');
 			logger.warn('connection.dropped', {
