Bound the connections that wait for their refusals beyond the limit

A connection that the limit closes with a refusal stays open until the refusal has reached its caller, and was not counted meanwhile, so that callers that come again at once could hold descriptors beyond the limit. At most a tenth of the limit wait so now; the ones that wait for longest close at once. Requests that are not complete are also given up when memory is short and nothing else can be.

Only the tests of the decision were run.

--- a/packages/core/src/limits/__tests__/callerConnections.test.ts
+++ b/packages/core/src/limits/__tests__/callerConnections.test.ts
@@ -63,7 +63,7 @@
 		assert.equal(computeConnectionsHeld(1500), 1000 * 16_384);
 	});
 
-	it('closes stalled heads with most bytes first, idle connections and new heads only if all may close, and none with a request', () => {
+	it('closes stalled heads with most bytes first, what is not stalled only if all may close, and none with a complete request', () => {
 		const open = [
 			...buildConnections('head', 1, [3000, 3000, 20]),
 			...buildConnections('idle', 11, [10, 9000]),
@@ -72,7 +72,7 @@
 			...buildConnections('busy', 41, [9000]),
 		].map(connection => ({...connection, heldBytes: connection.connectionId === 2 ? 16_000 : 100}));
 		assert.deepEqual(chooseFreed(open, {bytes: MB, mayCloseAll: false}, NOW_MS), [2, 1]);
-		assert.deepEqual(chooseFreed(open, {bytes: MB, mayCloseAll: true}, NOW_MS), [2, 1, 12, 11, 3]);
+		assert.deepEqual(chooseFreed(open, {bytes: MB, mayCloseAll: true}, NOW_MS), [2, 1, 12, 11, 3, 21]);
 		assert.deepEqual(chooseFreed(open, {bytes: 1000, mayCloseAll: true}, NOW_MS), [2]);
 	});
 });
--- a/packages/core/src/limits/callerConnections.ts
+++ b/packages/core/src/limits/callerConnections.ts
@@ -109,28 +109,38 @@
 /** How much must be freed, and whether all connections without a request may close for it or only stalled heads. */
 export type FreedMemory = {readonly bytes: number; readonly mayCloseAll: boolean};
 
+/** Stages in the order in which their connections close when memory is short, if all may close. */
+const FREED_RANKS: Readonly<Record<ConnectionStage, number | undefined>> = {
+	idle: 1, head: 2, body: 3, unread: undefined, busy: undefined,
+};
+
 /**
- * Chooses connections without a request to close when memory is short: stalled heads by most bytes for the longest time, then idle
- * connections by the longest time, last the heads that began just now.
+ * Chooses connections to close when memory is short: stalled heads by most bytes for the longest time, then idle connections by the
+ * longest time, heads that began just now, and requests that are not complete.
  *
  * @returns identifiers in the order in which they are closed
  */
 export function chooseFreed(connections: readonly HeldCallerConnection[], {bytes, mayCloseAll}: FreedMemory, nowMs: number): readonly number[] {
-	const isStalledHead = ({stage, sinceMs}: CallerConnection) => stage === CONNECTION_STAGES.head && nowMs - sinceMs >= STALLED_MS;
-	const computeWeight = ({heldBytes, sinceMs}: HeldCallerConnection) => (heldBytes + CONNECTION_HELD_BYTES) * Math.max(1, nowMs - sinceMs);
+	const computeRank = ({stage, sinceMs}: CallerConnection) => stage === CONNECTION_STAGES.head && nowMs - sinceMs >= STALLED_MS ? 0 : FREED_RANKS[stage];
 	const ranked = connections
-		.filter(connection => isStalledHead(connection) || (mayCloseAll && (connection.stage === CONNECTION_STAGES.head || connection.stage === CONNECTION_STAGES.idle)))
-		.toSorted((left, right) => Number(isStalledHead(right)) - Number(isStalledHead(left))
-			|| Number(right.stage === CONNECTION_STAGES.idle) - Number(left.stage === CONNECTION_STAGES.idle)
-			|| computeWeight(right) - computeWeight(left) || left.connectionId - right.connectionId);
+		.flatMap(connection => {
+			const rank = computeRank(connection);
+			const freedBytes = connection.heldBytes + CONNECTION_HELD_BYTES;
+			return rank === undefined || (rank > 0 && !mayCloseAll)
+				? []
+				: [{
+					...connection, rank, freedBytes, weight: freedBytes * Math.max(1, nowMs - connection.sinceMs),
+				}];
+		})
+		.toSorted((left, right) => left.rank - right.rank || right.weight - left.weight || left.connectionId - right.connectionId);
 	const chosen: number[] = [];
-	let freedBytes = 0;
-	for (const {connectionId, heldBytes} of ranked) {
-		if (freedBytes >= bytes) {
+	let leftBytes = bytes;
+	for (const {connectionId, freedBytes} of ranked) {
+		if (leftBytes <= 0) {
 			break;
 		}
 
-		freedBytes += heldBytes + CONNECTION_HELD_BYTES;
+		leftBytes -= freedBytes;
 		chosen.push(connectionId);
 	}
 
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -113,6 +113,7 @@
 		const arrivedAtMs = performance.now() - unreadMs;
 		const maxBodyBytes = findLimits()?.bodyBytes ?? INITIAL_LIMITS.bodyBytes;
 		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
+		const isChunked = incoming.headers['transfer-encoding'] !== undefined;
 		if (declaredBytes <= maxBodyBytes && !memoryLedger.mayAdmit(declaredBytes)) {
 			onBodyRefused(request.call.requestId, declaredBytes);
 			refuseUnread(response, ports);
@@ -139,7 +140,7 @@
 				return;
 			}
 
-			if (incoming.headers['content-length'] === undefined && !memoryLedger.mayGrow(held, chunk.length)) {
+			if (isChunked && !memoryLedger.mayGrow(held, chunk.length)) {
 				onBodyRefused(request.call.requestId, bytes);
 				refuseUnread(response, ports);
 				return;
@@ -161,7 +162,7 @@
 			}
 
 			// A body whose length its caller did not know may have come later than the connection.
-			const sentMs = incoming.headers['transfer-encoding'] === undefined ? arrivalMonitor.measureSentMs(socket) : 0;
+			const sentMs = isChunked ? 0 : arrivalMonitor.measureSentMs(socket);
 			const completedAtMs = performance.now() - sentMs;
 			const body = collector.take();
 			connections.recordComplete(response);
--- a/packages/daemon/src/direct/createConnectionLimiter.ts
+++ b/packages/daemon/src/direct/createConnectionLimiter.ts
@@ -49,8 +49,10 @@
 const MIN_PROGRESS_BYTES = 1024;
 /** Time for which no choice is made after one that found no connection to close. */
 const FRUITLESS_MS = 20;
-/** Time for a refusal to be handed to the operating system. */
-const MAX_CLOSING_MS = 1000;
+/** Time for a refusal to reach its caller. */
+const MAX_CLOSING_MS = 1500;
+/** Connections beyond the limit that may wait for their refusals to reach callers, as a share of it. */
+const CLOSING_SHARE = 0.1;
 const REPORT_INTERVAL_MS = 1000;
 
 const createNoLimited = (): Record<LimitReason, number> => ({
@@ -61,7 +63,7 @@
 export function createConnectionLimiter(options: ConnectionLimiterOptions): ConnectionLimiter {
 	const {connections, maxDescriptors, memoryBytes, countTargetConnections, measureConnectionBytes = () => 0, refuseReading, onLimited} = options;
 	const progressBySocket = new WeakMap<Socket, ConnectionProgress>();
-	/** Connections that close as soon as their last bytes are handed to the operating system, with the times since when. */
+	/** Connections that close once their last bytes have reached their callers, oldest first, with the times since when. */
 	const closing = new Map<Socket, number>();
 	let lastConnectionId = 0;
 	let fruitlessAtMs = Number.NEGATIVE_INFINITY;
@@ -139,6 +141,14 @@
 	recordTimer.unref();
 	reportTimer.unref();
 
+	/** Closes those at once that wait for longest, if many do. */
+	const closeExcess = (maxClosing: number) => {
+		const waiting = [...closing.keys()].filter(socket => !socket.destroyed);
+		for (const socket of waiting.slice(0, Math.max(0, waiting.length - maxClosing))) {
+			socket.destroy();
+		}
+	};
+
 	const countOpen = () => connections.countConnections() - closing.size;
 
 	return {
@@ -156,6 +166,7 @@
 			if (nowMs - fruitlessAtMs >= FRUITLESS_MS) {
 				const open = listConnections(nowMs);
 				closeChosen(open, chooseClosed(open.map(({connection}) => connection), maxConnections, nowMs));
+				closeExcess(Math.ceil(maxConnections * CLOSING_SHARE));
 			}
 
 			if (countOpen() > maxConnections && !socket.destroyed) {
