Merge the framing of callers' requests with the limits of connections and memory

What waits to be parsed counts as held bytes of its connection, and a whole head that waits is refused as not run when the limit of connections needs its place.

--- a/packages/core/src/limits/memoryBudget.ts
+++ b/packages/core/src/limits/memoryBudget.ts
@@ -42,8 +42,6 @@
 const EXHAUSTED_SHARE = 2.5;
 /** Share of the heap's limit from which on growth of the heap lowers the budget. */
 const CROWDED_HEAP_SHARE = 0.75;
-/** Held bytes of each string of a head beside its characters: the string itself and its places in lists. */
-const HEAD_STRING_BYTES = 40;
 /** Share of the budget that is left after connections were dropped. */
 const DROPPED_TO_SHARE = 0.9;
 /** Unread bytes of a connection above which its target waits, while memory is ample. As long as a response that is buffered whole. */
@@ -108,16 +106,6 @@
 	return bodyBytes <= SHORT_BODY_BYTES || bodyBytes - addedBytes > SHORT_BODY_BYTES || mayAdmitBody(use, bodyBytes);
 }
 
-/** Estimates the held bytes of header lines, given as names and values. Many short ones cost more than their characters. */
-export function estimateHeadBytes(headers: readonly string[]): number {
-	let bytes = 0;
-	for (const text of headers) {
-		bytes += text.length + HEAD_STRING_BYTES;
-	}
-
-	return bytes;
-}
-
 /**
  * Chooses the connections to drop when more is held than the budget. Callers that make progress come after all stalled
  * ones; otherwise most bytes held for the longest time come first.
--- a/packages/daemon/src/direct/createConnectionLimiter.ts
+++ b/packages/daemon/src/direct/createConnectionLimiter.ts
@@ -31,10 +31,10 @@
 	readonly memoryBytes: number | undefined;
 	/** Returns the number of open connections to targets. */
 	readonly countTargetConnections: () => number;
-	/** Returns the bytes that were read of a connection and belong to no request yet. */
-	readonly measureConnectionBytes?: (socket: Socket) => number;
 	/** Refuses a request whose body is being read, as not run. */
 	readonly refuseReading: (response: ServerResponse) => void;
+	/** Refuses a request whose head waits to be parsed, as not run. */
+	readonly refuseUnparsed: (socket: Socket) => void;
 	/** Called at most once a second, if connections were closed or refused. */
 	readonly onLimited: (limited: LimitedConnections, maxConnections: number) => void;
 };
@@ -61,7 +61,7 @@
 
 /** Creates a limiter for the connections of a tracker. */
 export function createConnectionLimiter(options: ConnectionLimiterOptions): ConnectionLimiter {
-	const {connections, maxDescriptors, memoryBytes, countTargetConnections, measureConnectionBytes = () => 0, refuseReading, onLimited} = options;
+	const {connections, maxDescriptors, memoryBytes, countTargetConnections, refuseReading, refuseUnparsed, onLimited} = options;
 	const progressBySocket = new WeakMap<Socket, ConnectionProgress>();
 	/** Connections that close once their last bytes have reached their callers, oldest first, with the times since when. */
 	const closing = new Map<Socket, number>();
@@ -101,13 +101,18 @@
 	const close = ({socket, stage}: OpenConnection) => {
 		limited[stage] += 1;
 		closing.set(socket, performance.now());
-		const reading = connections.listReading(socket);
-		if (stage === CONNECTION_STAGES.body && reading.length > 0) {
-			for (const response of reading) {
-				refuseReading(response);
-			}
-		} else {
+		if (stage !== CONNECTION_STAGES.body) {
 			socket.destroy();
+			return;
+		}
+
+		const reading = connections.listReading(socket);
+		if (reading.length === 0) {
+			refuseUnparsed(socket);
+		}
+
+		for (const response of reading) {
+			refuseReading(response);
 		}
 	};
 
@@ -180,7 +185,7 @@
 		measureHeld() {
 			let heldBytes = computeConnectionsHeld(countOpen());
 			for (const socket of connections.listSockets()) {
-				heldBytes += closing.has(socket) ? 0 : measureConnectionBytes(socket);
+				heldBytes += closing.has(socket) ? 0 : connections.measureUnparsed(socket);
 			}
 
 			return heldBytes;
@@ -188,7 +193,7 @@
 		release(bytes, mayCloseAll) {
 			const nowMs = performance.now();
 			const open = listConnections(nowMs);
-			const held = open.map(({socket, connection}): HeldCallerConnection => ({...connection, heldBytes: measureConnectionBytes(socket)}));
+			const held = open.map(({socket, connection}): HeldCallerConnection => ({...connection, heldBytes: connections.measureUnparsed(socket)}));
 			closeChosen(open, chooseFreed(held, {bytes, mayCloseAll}, nowMs));
 		},
 		stop() {
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,10 +1,12 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {CONNECTION_STAGES, type ConnectionStage} from '@damaskspool/core';
+import {createLingeringClose, type LingeringClose} from './createLingeringClose.js';
+import {type RequestReader} from './createRequestReader.js';
 
 /** Connections of callers with the requests on them that are not answered yet. */
 export type ConnectionTracker = {
-	readonly recordConnection: (socket: Socket) => void;
+	readonly recordConnection: (socket: Socket, reader: UnparsedReader) => void;
 	/** Records a request from its head on, until its answer has been handed to the operating system or its connection is gone. */
 	readonly recordRequest: (response: ServerResponse, socket: Socket, requestId: string) => void;
 	/** Records that the body of a request is complete. */
@@ -19,18 +21,20 @@
 	readonly countConnections: () => number;
 	/** Returns the answers to requests of a connection whose bodies are being read. */
 	readonly listReading: (socket: Socket) => readonly ServerResponse[];
-	/** Returns the number of requests that are being read or answered. */
+	/** Returns the bytes of a connection that wait to be parsed. */
+	readonly measureUnparsed: (socket: Socket) => number;
+	/** Returns the number of requests that are being read or answered, with those whose whole head waits to be parsed. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
 	readonly countOpen: (socket: Socket) => number;
 	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
-	/** Runs a task once no request of a connection is being read or answered. */
-	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
 	/** From now on, each connection closes behind the answers to the requests that it carries. */
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
 	readonly closeIdle: () => void;
+	/** Returns the number of connections that are closed once their last answer has surely been delivered. */
+	readonly countLingering: () => number;
 };
 
 /** An open connection, and how far its requests have come. */
@@ -64,13 +68,24 @@
 	readonly unsentBytes: number;
 };
 
+/** Tells what a connection holds of a request that is not parsed yet. */
+export type UnparsedReader = Pick<RequestReader, 'countHeldBytes' | 'findHeld' | 'isHeadWhole'>;
+
 /** Options of {@link createConnectionTracker}. */
 export type ConnectionTrackerOptions = {
 	readonly onCut: (request: CutRequest) => void;
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number; responses: Set<ServerResponse>; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedConnection = {
+	readonly reader: UnparsedReader;
+	readonly lingeringClose: LingeringClose;
+	answeredBytes: number;
+	openRequests: number;
+	readonly responses: Set<ServerResponse>;
+	isEndedByCaller: boolean;
+	errorCode: string | undefined;
+};
 type TrackedRequest = {stage: RequestStage};
 
 /** Codes of errors that a caller causes by closing its connection. */
@@ -87,8 +102,13 @@
 
 	const isReading = (response: ServerResponse) => requests.get(response)?.stage === REQUEST_STAGES.reading && !response.writableEnded;
 
-	const findStage = (socket: Socket, {answeredBytes, responses}: TrackedConnection): ConnectionStage => {
+	const findStage = (socket: Socket, {answeredBytes, responses, reader}: TrackedConnection): ConnectionStage => {
 		if (responses.size === 0) {
+			// No target knows a request whose head waits to be parsed.
+			if (reader.isHeadWhole()) {
+				return CONNECTION_STAGES.body;
+			}
+
 			return answeredBytes > 0 && socket.bytesRead === answeredBytes ? CONNECTION_STAGES.idle : CONNECTION_STAGES.head;
 		}
 
@@ -101,9 +121,15 @@
 	};
 
 	return {
-		recordConnection(socket) {
+		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
-				answeredBytes: 0, openRequests: 0, responses: new Set(), isEndedByCaller: false, errorCode: undefined,
+				reader,
+				lingeringClose: createLingeringClose(socket),
+				answeredBytes: 0,
+				openRequests: 0,
+				responses: new Set(),
+				isEndedByCaller: false,
+				errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -122,6 +148,7 @@
 				return;
 			}
 
+			const {reader} = connection;
 			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
@@ -129,7 +156,9 @@
 			requests.set(response, request);
 			response.on('close', () => {
 				requests.delete(response);
-				if (!response.writableFinished) {
+				if (response.writableFinished) {
+					connection.lingeringClose.recordAnswer();
+				} else {
 					onCut({
 						requestId,
 						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
@@ -143,13 +172,10 @@
 
 				connection.openRequests -= 1;
 				connection.responses.delete(response);
-				connection.answeredBytes = socket.bytesRead;
-				// The head of an answer that began before the stop does not announce it.
-				if (connection.openRequests === 0) {
-					connection.taskOnceAnswered?.();
-					if (isStopping) {
-						socket.destroySoon();
-					}
+				connection.answeredBytes = socket.bytesRead - reader.countHeldBytes();
+				// The head of an answer that began before the stop does not announce it. A request that was sent ahead meanwhile is answered.
+				if (isStopping && connection.openRequests === 0 && reader.countHeldBytes() === 0) {
+					connection.lingeringClose.close();
 				}
 			});
 		},
@@ -173,16 +199,12 @@
 		listSockets: () => connections.keys(),
 		countConnections: () => connections.size,
 		listReading: socket => [...connections.get(socket)?.responses ?? []].filter(response => isReading(response)),
-		countRequests: () => requests.size,
+		measureUnparsed: socket => connections.get(socket)?.reader.findHeld()?.heldBytes ?? 0,
+		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
+		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
 			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
-		runOnceAnswered(socket, task) {
-			const connection = connections.get(socket);
-			if (connection !== undefined) {
-				connection.taskOnceAnswered = task;
-			}
-		},
 		beginStop() {
 			isStopping = true;
 			for (const response of requests.keys()) {
@@ -191,9 +213,9 @@
 			}
 		},
 		closeIdle() {
-			for (const [socket, {answeredBytes, openRequests}] of connections) {
+			for (const [socket, {answeredBytes, openRequests, lingeringClose}] of connections) {
 				if (openRequests === 0 && socket.bytesRead === answeredBytes) {
-					socket.destroySoon();
+					lingeringClose.close();
 				}
 			}
 		},
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -107,6 +107,9 @@
 		refuseReading(response) {
 			refuseUnread(response, ports);
 		},
+		refuseUnparsed(socket) {
+			callerServer.refuseHeld({socket});
+		},
 		onLimited(limited, maxConnections) {
 			for (const [reason, count] of Object.entries(limited).filter(([, number]) => number > 0)) {
 				metrics.count(`connections_limited{reason="${reason}"}`, count);
@@ -274,9 +277,9 @@
 				subject: requestId, code: ERROR_CODES.overloaded, bodyBytes, heldBytes: memoryLedger.measure(),
 			});
 		},
-		onCrowded() {
-			metrics.count('connections_crowded');
-			logger.warn('connection.crowded', {});
+		onHeadRefused({heldBytes, heldSinceMs}) {
+			metrics.count(`refusals{code="${ERROR_CODES.overloaded}"}`);
+			logger.warn('head.refused', {heldBytes, waitedMs: Math.round(performance.now() - heldSinceMs)});
 		},
 		onDisconnected(callId) {
 			loop.dispatch({type: 'call.disconnected', callId});
