--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -74,8 +74,10 @@
 	readonly applyLimits: (limits: CallerLimits) => void;
 	/** Refuses the requests whose bodies are still being read. */
 	readonly refuseReading: () => void;
-	/** Closes a connection without a request that the HTTP server knows, with a refusal if the whole head of one was read. */
-	readonly closeHead: (socket: Socket) => void;
+	/** Returns the requests that are not parsed yet, with the bytes that they hold. */
+	readonly listHeld: () => readonly HeldRequest[];
+	/** Refuses such a request, which no target knows, and closes its connection. */
+	readonly refuseHeld: (held: Pick<HeldRequest, 'socket'>, failure?: Failure) => void;
 };
 
 /**
@@ -119,7 +121,7 @@
 	};
 
 	/** Refuses a request that is not parsed. It is forgotten first, so that no target gets it. */
-	const refuseHeld = ({socket}: HeldRequest, failure: Failure) => {
+	const refuseHeld = ({socket}: Pick<HeldRequest, 'socket'>, failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})) => {
 		throttle.findReader(socket)?.discard();
 		writeUnparsedRefusal(socket, {ports, failure});
 	};
@@ -165,7 +167,7 @@
 				return;
 			}
 
-			if (incoming.headers['content-length'] === undefined && !memoryLedger.mayGrow(held, chunk.length)) {
+			if (isChunked && !memoryLedger.mayGrow(held, chunk.length)) {
 				onBodyRefused(request.call.requestId, bytes);
 				refuseUnread(response, ports);
 				return;
@@ -256,7 +258,7 @@
 		for (const held of throttle.listHeld()) {
 			if (held.isWhole && nowMs - held.heldSinceMs > MAX_HEAD_WAIT_MS) {
 				onHeadRefused(held);
-				refuseHeld(held, createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}));
+				refuseHeld(held);
 			} else if (held.isPartial && nowMs - held.heldSinceMs > server.headersTimeout) {
 				rejectRequest(held.socket, 'ERR_HTTP_REQUEST_TIMEOUT');
 			}
--- a/packages/daemon/src/direct/createConnectionLimiter.ts
+++ b/packages/daemon/src/direct/createConnectionLimiter.ts
@@ -31,12 +31,10 @@
 	readonly memoryBytes: number | undefined;
 	/** Returns the number of open connections to targets. */
 	readonly countTargetConnections: () => number;
-	/** Returns the bytes that were read of a connection and belong to no request yet. */
-	readonly measureConnectionBytes: (socket: Socket) => number;
-	/** Closes a connection without a request, of which the whole head of one may have been read. */
-	readonly closeHead: (socket: Socket) => void;
 	/** Refuses a request whose body is being read, as not run. */
 	readonly refuseReading: (response: ServerResponse) => void;
+	/** Refuses a request whose head waits to be parsed, as not run. */
+	readonly refuseUnparsed: (socket: Socket) => void;
 	/** Called at most once a second, if connections were closed or refused. */
 	readonly onLimited: (limited: LimitedConnections, maxConnections: number) => void;
 };
@@ -51,6 +49,10 @@
 const MIN_PROGRESS_BYTES = 1024;
 /** Time for which no choice is made after one that found no connection to close. */
 const FRUITLESS_MS = 20;
+/** Time for a refusal to reach its caller. */
+const MAX_CLOSING_MS = 1500;
+/** Connections beyond the limit that may wait for their refusals to reach callers, as a share of it. */
+const CLOSING_SHARE = 0.1;
 const REPORT_INTERVAL_MS = 1000;
 
 const createNoLimited = (): Record<LimitReason, number> => ({
@@ -59,10 +61,10 @@
 
 /** Creates a limiter for the connections of a tracker. */
 export function createConnectionLimiter(options: ConnectionLimiterOptions): ConnectionLimiter {
-	const {connections, maxDescriptors, memoryBytes, countTargetConnections, measureConnectionBytes, closeHead, refuseReading, onLimited} = options;
+	const {connections, maxDescriptors, memoryBytes, countTargetConnections, refuseReading, refuseUnparsed, onLimited} = options;
 	const progressBySocket = new WeakMap<Socket, ConnectionProgress>();
-	/** Connections that close as soon as their last bytes are handed to the operating system. */
-	const closing = new Set<Socket>();
+	/** Connections that close once their last bytes have reached their callers, oldest first, with the times since when. */
+	const closing = new Map<Socket, number>();
 	let lastConnectionId = 0;
 	let fruitlessAtMs = Number.NEGATIVE_INFINITY;
 	let limited = createNoLimited();
@@ -98,16 +100,19 @@
 
 	const close = ({socket, stage}: OpenConnection) => {
 		limited[stage] += 1;
-		closing.add(socket);
-		const reading = connections.listReading(socket);
-		if (stage === CONNECTION_STAGES.body && reading.length > 0) {
-			for (const response of reading) {
-				refuseReading(response);
-			}
-		} else if (stage === CONNECTION_STAGES.head) {
-			closeHead(socket);
-		} else {
+		closing.set(socket, performance.now());
+		if (stage !== CONNECTION_STAGES.body) {
 			socket.destroy();
+			return;
+		}
+
+		const reading = connections.listReading(socket);
+		if (reading.length === 0) {
+			refuseUnparsed(socket);
+		}
+
+		for (const response of reading) {
+			refuseReading(response);
 		}
 	};
 
@@ -121,8 +126,15 @@
 	};
 
 	const recordTimer = setInterval(() => {
+		const nowMs = performance.now();
+		for (const [socket, sinceMs] of closing) {
+			if (nowMs - sinceMs >= MAX_CLOSING_MS) {
+				socket.destroy();
+			}
+		}
+
 		if (connections.countConnections() >= getLimit() * RECORDED_SHARE) {
-			listConnections(performance.now());
+			listConnections(nowMs);
 		}
 	}, RECORD_INTERVAL_MS);
 	const reportTimer = setInterval(() => {
@@ -134,6 +146,14 @@
 	recordTimer.unref();
 	reportTimer.unref();
 
+	/** Closes those at once that wait for longest, if many do. */
+	const closeExcess = (maxClosing: number) => {
+		const waiting = [...closing.keys()].filter(socket => !socket.destroyed);
+		for (const socket of waiting.slice(0, Math.max(0, waiting.length - maxClosing))) {
+			socket.destroy();
+		}
+	};
+
 	const countOpen = () => connections.countConnections() - closing.size;
 
 	return {
@@ -151,12 +171,13 @@
 			if (nowMs - fruitlessAtMs >= FRUITLESS_MS) {
 				const open = listConnections(nowMs);
 				closeChosen(open, chooseClosed(open.map(({connection}) => connection), maxConnections, nowMs));
+				closeExcess(Math.ceil(maxConnections * CLOSING_SHARE));
 			}
 
 			if (countOpen() > maxConnections && !socket.destroyed) {
 				fruitlessAtMs = nowMs;
 				limited.refused += 1;
-				closing.add(socket);
+				closing.set(socket, nowMs);
 				socket.destroy();
 			}
 		},
@@ -164,7 +185,7 @@
 		measureHeld() {
 			let heldBytes = computeConnectionsHeld(countOpen());
 			for (const socket of connections.listSockets()) {
-				heldBytes += closing.has(socket) ? 0 : measureConnectionBytes(socket);
+				heldBytes += closing.has(socket) ? 0 : connections.measureUnparsed(socket);
 			}
 
 			return heldBytes;
@@ -172,7 +193,7 @@
 		release(bytes, mayCloseAll) {
 			const nowMs = performance.now();
 			const open = listConnections(nowMs);
-			const held = open.map(({socket, connection}): HeldCallerConnection => ({...connection, heldBytes: measureConnectionBytes(socket)}));
+			const held = open.map(({socket, connection}): HeldCallerConnection => ({...connection, heldBytes: connections.measureUnparsed(socket)}));
 			closeChosen(open, chooseFreed(held, {bytes, mayCloseAll}, nowMs));
 		},
 		stop() {
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -21,8 +21,8 @@
 	readonly countConnections: () => number;
 	/** Returns the answers to requests of a connection whose bodies are being read. */
 	readonly listReading: (socket: Socket) => readonly ServerResponse[];
-	/** Returns the bytes that were read of a connection and wait to be parsed. */
-	readonly countHeldBytes: (socket: Socket) => number;
+	/** Returns the bytes of a connection that wait to be parsed. */
+	readonly measureUnparsed: (socket: Socket) => number;
 	/** Returns the number of requests that are being read or answered, with those whose whole head waits to be parsed. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
@@ -102,8 +102,13 @@
 
 	const isReading = (response: ServerResponse) => requests.get(response)?.stage === REQUEST_STAGES.reading && !response.writableEnded;
 
-	const findStage = (socket: Socket, {answeredBytes, responses}: TrackedConnection): ConnectionStage => {
+	const findStage = (socket: Socket, {answeredBytes, responses, reader}: TrackedConnection): ConnectionStage => {
 		if (responses.size === 0) {
+			// No target knows a request whose head waits to be parsed.
+			if (reader.isHeadWhole()) {
+				return CONNECTION_STAGES.body;
+			}
+
 			return answeredBytes > 0 && socket.bytesRead === answeredBytes ? CONNECTION_STAGES.idle : CONNECTION_STAGES.head;
 		}
 
@@ -118,7 +123,13 @@
 	return {
 		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
-				reader, lingeringClose: createLingeringClose(socket), answeredBytes: 0, openRequests: 0, responses: new Set(), isEndedByCaller: false, errorCode: undefined,
+				reader,
+				lingeringClose: createLingeringClose(socket),
+				answeredBytes: 0,
+				openRequests: 0,
+				responses: new Set(),
+				isEndedByCaller: false,
+				errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -188,7 +199,7 @@
 		listSockets: () => connections.keys(),
 		countConnections: () => connections.size,
 		listReading: socket => [...connections.get(socket)?.responses ?? []].filter(response => isReading(response)),
-		countHeldBytes: socket => connections.get(socket)?.reader.findHeld()?.heldBytes ?? 0,
+		measureUnparsed: socket => connections.get(socket)?.reader.findHeld()?.heldBytes ?? 0,
 		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
 		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -104,13 +104,12 @@
 		maxDescriptors: settings.maxDescriptors,
 		memoryBytes: settings.memoryBytes,
 		countTargetConnections: pools.countConnections,
-		measureConnectionBytes: connections.countHeldBytes,
-		closeHead(socket) {
-			callerServer.closeHead(socket);
-		},
 		refuseReading(response) {
 			refuseUnread(response, ports);
 		},
+		refuseUnparsed(socket) {
+			callerServer.refuseHeld({socket});
+		},
 		onLimited(limited, maxConnections) {
 			for (const [reason, count] of Object.entries(limited).filter(([, number]) => number > 0)) {
 				metrics.count(`connections_limited{reason="${reason}"}`, count);
