--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -279,14 +279,8 @@
 	});
 	return {
 		server,
-		closeHead(socket) {
-			const held = throttle.findReader(socket)?.findHeld();
-			if (held?.isWhole === true) {
-				refuseHeld(held, createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}));
-			} else {
-				socket.destroy();
-			}
-		},
+		listHeld: throttle.listHeld,
+		refuseHeld,
 		refuseReading() {
 			const failure = createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
 			for (const response of reading) {
