Answer the request that a caller sends while a stop closes its connection

What callers saw: in a stop, a request that was sent right behind an answer which began before the stop was read, not run and not answered; its connection ended.

Cause: the connection was closed for sending behind that answer and paused for 1 s. The throttle listens to the bytes of a connection itself, so the HTTP server does not stop reading when it is paused: up to a buffer of requests is read meanwhile.

A caller that was not told of the close may send its next request, so the connection stays open until its last answer has surely arrived. A request that comes meanwhile is treated like those on idle connections of a stop: taken if it can end within the grace, refused otherwise, and its answer announces the close. Then the connection is closed at once, so that what crosses that close is not read.

--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -21,11 +21,14 @@
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
 	/** Runs a task once no request of a connection is being read or answered. */
 	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
-	/** From now on, each connection closes behind the answers to the requests that it carries. */
+	/** From now on, each answer whose head is not sent yet announces the end of its connection. */
 	readonly beginStop: () => void;
-	/** Closes the connections without a request, also without part of one. */
+	/**
+	 * Closes the connections without a request, also without part of one, whose last answer has surely been delivered. Until
+	 * then a caller that was not told of the close may send its next request, which is read and has to be answered.
+	 */
 	readonly closeIdle: () => void;
-	/** Returns the number of connections that are closed once their last answer has surely been delivered. */
+	/** Returns the number of connections whose last answer may still be on its way. */
 	readonly countLingering: () => number;
 };
 
@@ -76,7 +79,6 @@
 export function createConnectionTracker({onCut}: ConnectionTrackerOptions): ConnectionTracker {
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
-	let isStopping = false;
 	return {
 		recordConnection(socket) {
 			const connection: TrackedConnection = {
@@ -121,12 +123,8 @@
 
 				connection.openRequests -= 1;
 				connection.answeredBytes = socket.bytesRead;
-				// The head of an answer that began before the stop does not announce it.
 				if (connection.openRequests === 0) {
 					connection.taskOnceAnswered?.();
-					if (isStopping) {
-						connection.lingeringClose.close();
-					}
 				}
 			});
 		},
@@ -158,7 +156,6 @@
 			}
 		},
 		beginStop() {
-			isStopping = true;
 			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
 				response.shouldKeepAlive = false;
@@ -166,8 +163,8 @@
 		},
 		closeIdle() {
 			for (const [socket, {answeredBytes, openRequests, lingeringClose}] of connections) {
-				if (openRequests === 0 && socket.bytesRead === answeredBytes) {
-					lingeringClose.close();
+				if (openRequests === 0 && socket.bytesRead === answeredBytes && !lingeringClose.isLingering()) {
+					socket.destroy();
 				}
 			}
 		},
--- a/packages/daemon/src/direct/drainCallers.ts
+++ b/packages/daemon/src/direct/drainCallers.ts
@@ -2,7 +2,6 @@
 import {Server as NetServer} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {type ConnectionTracker} from './createConnectionTracker.js';
-import {LINGER_MS} from './createLingeringClose.js';
 
 /** Interval between checks for requests in progress. */
 const DRAIN_POLL_MS = 25;
@@ -35,7 +34,7 @@
 		await waitUntilIdle(connections, performance.now() + FLUSH_MS);
 	}
 
-	await waitWhile(() => connections.countLingering() > 0, Math.min(performance.now() + LINGER_MS, endsAtMs + FLUSH_MS));
+	await waitWhile(() => connections.countRequests() + connections.countLingering() > 0, endsAtMs + FLUSH_MS, connections.closeIdle);
 	onClosing();
 	server.closeAllConnections();
 	await closed;
