--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -29,11 +29,14 @@
 	readonly countOpen: (socket: Socket) => number;
 	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
-	/** From now on, each connection closes behind the answers to the requests that it carries. */
+	/** From now on, each answer whose head is not sent yet announces the end of its connection. */
 	readonly beginStop: () => void;
-	/** Closes the connections without a request, also without part of one. */
+	/**
+	 * Closes the connections without a request, also without part of one, whose last answer has surely been delivered. Until
+	 * then a caller that was not told of the close may send its next request, which is read and has to be answered.
+	 */
 	readonly closeIdle: () => void;
-	/** Returns the number of connections that are closed once their last answer has surely been delivered. */
+	/** Returns the number of connections whose last answer may still be on its way. */
 	readonly countLingering: () => number;
 };
 
@@ -98,8 +101,6 @@
 export function createConnectionTracker({onCut}: ConnectionTrackerOptions): ConnectionTracker {
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
-	let isStopping = false;
-
 	const isReading = (response: ServerResponse) => requests.get(response)?.stage === REQUEST_STAGES.reading && !response.writableEnded;
 
 	const findStage = (socket: Socket, {answeredBytes, responses, reader}: TrackedConnection): ConnectionStage => {
@@ -173,10 +174,6 @@
 				connection.openRequests -= 1;
 				connection.responses.delete(response);
 				connection.answeredBytes = socket.bytesRead - reader.countHeldBytes();
-				// The head of an answer that began before the stop does not announce it. A request that was sent ahead meanwhile is answered.
-				if (isStopping && connection.openRequests === 0 && reader.countHeldBytes() === 0) {
-					connection.lingeringClose.close();
-				}
 			});
 		},
 		recordComplete(response) {
@@ -206,7 +203,6 @@
 		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
 			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
 		beginStop() {
-			isStopping = true;
 			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
 				response.shouldKeepAlive = false;
@@ -214,8 +210,8 @@
 		},
 		closeIdle() {
 			for (const [socket, {answeredBytes, openRequests, lingeringClose}] of connections) {
-				if (openRequests === 0 && socket.bytesRead === answeredBytes) {
-					lingeringClose.close();
+				if (openRequests === 0 && socket.bytesRead === answeredBytes && !lingeringClose.isLingering()) {
+					socket.destroy();
 				}
 			}
 		},
