--- a/packages/daemon/src/direct/createRequestReader.ts
+++ b/packages/daemon/src/direct/createRequestReader.ts
@@ -161,6 +161,15 @@
 		return endsAt !== undefined;
 	};
 
+	/** Forgets a request that crosses the close of its connection, which cannot be answered. Returns whether it did. */
+	const discardCrossing = () => {
+		if (!socket.writable) {
+			discard();
+		}
+
+		return !socket.writable;
+	};
+
 	/** Returns whether a section that is whole may be parsed now. Asks for a turn if it costs much. */
 	const mayParseSection = (): boolean => {
 		if (isTurn || !isHeadCostly(scan)) {
@@ -179,7 +188,7 @@
 	/** Steps by name. Each returns whether it made progress. */
 	const runStep: Readonly<Record<Step, () => boolean>> = {
 		head() {
-			if (unread.length === 0) {
+			if (discardCrossing() || unread.length === 0) {
 				return false;
 			}
 
@@ -192,7 +201,7 @@
 			return true;
 		},
 		wholeHead() {
-			if (!mayParseSection()) {
+			if (discardCrossing() || !mayParseSection()) {
 				return false;
 			}
 
