--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -116,6 +116,7 @@
 export * from './framing/decodeChunks.js';
 export * from './framing/headCost.js';
 export * from './framing/scanHead.js';
+export * from './limits/callerConnections.js';
 export * from './limits/memoryBudget.js';
 export * from './limits/readTurns.js';
 export * from './limits/readWindow.js';
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -74,10 +74,8 @@
 	readonly applyLimits: (limits: CallerLimits) => void;
 	/** Refuses the requests whose bodies are still being read. */
 	readonly refuseReading: () => void;
-	/** Returns the requests that are not parsed yet, with the bytes that they hold. */
-	readonly listHeld: () => readonly HeldRequest[];
-	/** Refuses such a request, which no target knows, and closes its connection. */
-	readonly refuseHeld: (held: HeldRequest, failure: Failure) => void;
+	/** Closes a connection without a request that the HTTP server knows, with a refusal if the whole head of one was read. */
+	readonly closeHead: (socket: Socket) => void;
 };
 
 /**
@@ -150,7 +148,9 @@
 
 		lastCallId += 1;
 		const callId = lastCallId;
-		const held = memoryLedger.add({callId, requestId: request.call.requestId, response});
+		const held = memoryLedger.add({
+			callId, requestId: request.call.requestId, response, headBytes: request.headerLines.length,
+		});
 		const collector = createByteCollector();
 		let bytes = 0;
 		reading.add(response);
@@ -165,6 +165,12 @@
 				return;
 			}
 
+			if (incoming.headers['content-length'] === undefined && !memoryLedger.mayGrow(held, chunk.length)) {
+				onBodyRefused(request.call.requestId, bytes);
+				refuseUnread(response, ports);
+				return;
+			}
+
 			if (bytes > maxBodyBytes) {
 				response.shouldKeepAlive = false;
 				writeRefusal({response, ports, failure: createFailure(ERROR_CODES.bodyTooLarge)});
@@ -271,8 +277,14 @@
 	});
 	return {
 		server,
-		listHeld: throttle.listHeld,
-		refuseHeld,
+		closeHead(socket) {
+			const held = throttle.findReader(socket)?.findHeld();
+			if (held?.isWhole === true) {
+				refuseHeld(held, createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}));
+			} else {
+				socket.destroy();
+			}
+		},
 		refuseReading() {
 			const failure = createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
 			for (const response of reading) {
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {CONNECTION_STAGES, type ConnectionStage} from '@damaskspool/core';
 import {createLingeringClose, type LingeringClose} from './createLingeringClose.js';
 import {type RequestReader} from './createRequestReader.js';
 
@@ -14,6 +15,14 @@
 	readonly recordCall: (response: ServerResponse) => void;
 	/** Counts the connections that are open, and those of them that have sent part of a request. */
 	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
+	/** Returns the open connections with how far their requests have come. */
+	readonly listOpen: () => readonly OpenConnection[];
+	readonly listSockets: () => Iterable<Socket>;
+	readonly countConnections: () => number;
+	/** Returns the answers to requests of a connection whose bodies are being read. */
+	readonly listReading: (socket: Socket) => readonly ServerResponse[];
+	/** Returns the bytes that were read of a connection and wait to be parsed. */
+	readonly countHeldBytes: (socket: Socket) => number;
 	/** Returns the number of requests that are being read or answered, with those whose whole head waits to be parsed. */
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
@@ -28,6 +37,9 @@
 	readonly countLingering: () => number;
 };
 
+/** An open connection, and how far its requests have come. */
+export type OpenConnection = {readonly socket: Socket; readonly stage: ConnectionStage};
+
 /** How far a request had come when its connection closed. */
 export const REQUEST_STAGES = {
 	/** Its body was being read. */
@@ -57,7 +69,7 @@
 };
 
 /** Tells what a connection holds of a request that is not parsed yet. */
-export type UnparsedReader = Pick<RequestReader, 'countHeldBytes' | 'isHeadWhole'>;
+export type UnparsedReader = Pick<RequestReader, 'countHeldBytes' | 'findHeld' | 'isHeadWhole'>;
 
 /** Options of {@link createConnectionTracker}. */
 export type ConnectionTrackerOptions = {
@@ -70,6 +82,7 @@
 	readonly lingeringClose: LingeringClose;
 	answeredBytes: number;
 	openRequests: number;
+	readonly responses: Set<ServerResponse>;
 	isEndedByCaller: boolean;
 	errorCode: string | undefined;
 };
@@ -86,10 +99,26 @@
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
 	let isStopping = false;
+
+	const isReading = (response: ServerResponse) => requests.get(response)?.stage === REQUEST_STAGES.reading && !response.writableEnded;
+
+	const findStage = (socket: Socket, {answeredBytes, responses}: TrackedConnection): ConnectionStage => {
+		if (responses.size === 0) {
+			return answeredBytes > 0 && socket.bytesRead === answeredBytes ? CONNECTION_STAGES.idle : CONNECTION_STAGES.head;
+		}
+
+		const unanswered = [...responses].filter(response => !response.writableEnded);
+		if (unanswered.some(response => !isReading(response))) {
+			return CONNECTION_STAGES.busy;
+		}
+
+		return unanswered.length < responses.size ? CONNECTION_STAGES.unread : CONNECTION_STAGES.body;
+	};
+
 	return {
 		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
-				reader, lingeringClose: createLingeringClose(socket), answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+				reader, lingeringClose: createLingeringClose(socket), answeredBytes: 0, openRequests: 0, responses: new Set(), isEndedByCaller: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -112,6 +141,7 @@
 			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
+			connection.responses.add(response);
 			requests.set(response, request);
 			response.on('close', () => {
 				requests.delete(response);
@@ -130,6 +160,7 @@
 				}
 
 				connection.openRequests -= 1;
+				connection.responses.delete(response);
 				connection.answeredBytes = socket.bytesRead - reader.countHeldBytes();
 				// The head of an answer that began before the stop does not announce it. A request that was sent ahead meanwhile is answered.
 				if (isStopping && connection.openRequests === 0 && reader.countHeldBytes() === 0) {
@@ -153,6 +184,11 @@
 			openConnections: connections.size,
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
 		}),
+		listOpen: () => [...connections].filter(([socket]) => !socket.destroyed).map(([socket, connection]) => ({socket, stage: findStage(socket, connection)})),
+		listSockets: () => connections.keys(),
+		countConnections: () => connections.size,
+		listReading: socket => [...connections.get(socket)?.responses ?? []].filter(response => isReading(response)),
+		countHeldBytes: socket => connections.get(socket)?.reader.findHeld()?.heldBytes ?? 0,
 		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
 		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
