Pass on no request behind an answer that announces the close of its connection

What callers saw: around a planned stop, a request that was sent before the answer ahead of it had ended was passed on to a target, and its connection was closed without an answer.

Cause: an answer that begins during a stop says `connection: close`, and the HTTP server closes the connection behind it, also when it has taken a further request on it by then. Two requests that were under way when the stop began were both told so.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -101,6 +101,11 @@
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
 		const {socket} = incoming;
 		throttle.recordRead(socket);
+		if (connections.isClosing(socket)) {
+			throttle.hold(socket);
+			return;
+		}
+
 		if (connections.countOpen(socket) >= MAX_OPEN_REQUESTS) {
 			closeCrowded(socket);
 			return;
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -20,6 +20,8 @@
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
 	/** Runs a task once no request of a connection is being read or answered. */
 	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
+	/** Whether a connection closes behind an answer, and its caller has been told so. What comes on it from then on is not taken. */
+	readonly isClosing: (socket: Socket) => boolean;
 	/** From now on, each connection closes behind the answers to the requests that it carries. */
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
@@ -60,7 +62,15 @@
 };
 
 /** Bytes that a connection had received when its last request was answered, and the requests on it since then. */
-type TrackedConnection = {answeredBytes: number; openRequests: number; taskOnceAnswered?: () => void; isEndedByCaller: boolean; errorCode: string | undefined};
+type TrackedConnection = {
+	answeredBytes: number;
+	openRequests: number;
+	/** Response to the request that came last. */
+	lastResponse: ServerResponse | undefined;
+	taskOnceAnswered?: () => void;
+	isEndedByCaller: boolean;
+	errorCode: string | undefined;
+};
 type TrackedRequest = {stage: RequestStage};
 
 /** Codes of errors that a caller causes by closing its connection. */
@@ -74,10 +84,11 @@
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
 	let isStopping = false;
+
 	return {
 		recordConnection(socket) {
 			const connection: TrackedConnection = {
-				answeredBytes: 0, openRequests: 0, isEndedByCaller: false, errorCode: undefined,
+				answeredBytes: 0, openRequests: 0, lastResponse: undefined, isEndedByCaller: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
 			socket.on('end', () => {
@@ -100,6 +111,13 @@
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
 			requests.set(response, request);
+			const {lastResponse} = connection;
+			if (isStopping && lastResponse !== undefined && !lastResponse.headersSent) {
+				// The connection closes behind the last answer on it.
+				lastResponse.shouldKeepAlive = true;
+			}
+
+			connection.lastResponse = response;
 			response.on('close', () => {
 				requests.delete(response);
 				if (!response.writableFinished) {
@@ -115,6 +133,7 @@
 				}
 
 				connection.openRequests -= 1;
+				connection.lastResponse = connection.lastResponse === response ? undefined : connection.lastResponse;
 				connection.answeredBytes = socket.bytesRead;
 				// The head of an answer that began before the stop does not announce it.
 				if (connection.openRequests === 0) {
@@ -151,11 +170,17 @@
 				connection.taskOnceAnswered = task;
 			}
 		},
+		isClosing(socket) {
+			const response = connections.get(socket)?.lastResponse;
+			return response?.headersSent === true && !response.shouldKeepAlive;
+		},
 		beginStop() {
 			isStopping = true;
-			for (const response of requests.keys()) {
+			for (const {lastResponse} of connections.values()) {
 				// Has no effect on an answer whose head is sent.
-				response.shouldKeepAlive = false;
+				if (lastResponse?.headersSent === false) {
+					lastResponse.shouldKeepAlive = false;
+				}
 			}
 		},
 		closeIdle() {
