Close connections in a stop some time behind the end of their answers

What callers saw: around a planned stop, the end of a stream that the entry had sent whole (`answered` in its log) did not arrive; the connection was closed with status 200.

Cause: a stopping entry closed a connection right behind the answer. What a caller sends after that resets the connection, and a reset discards what is still on its way: at a relay between them, or in the kernel. The last bytes of an answer are such, when the caller sends its next request before it has read them.

--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -22,6 +22,8 @@
 	readonly runOnceAnswered: (socket: Socket, task: () => void) => void;
 	/** Whether a connection closes behind an answer, and its caller has been told so. What comes on it from then on is not taken. */
 	readonly isClosing: (socket: Socket) => boolean;
+	/** Counts the connections that were closed and may still deliver the end of an answer. */
+	readonly countLingering: () => number;
 	/** From now on, each connection closes behind the answers to the requests that it carries. */
 	readonly beginStop: () => void;
 	/** Closes the connections without a request, also without part of one. */
@@ -69,10 +71,17 @@
 	lastResponse: ServerResponse | undefined;
 	taskOnceAnswered?: () => void;
 	isEndedByCaller: boolean;
+	isLingering: boolean;
 	errorCode: string | undefined;
 };
 type TrackedRequest = {stage: RequestStage};
 
+/**
+ * Time from the end of the sending side of a connection until it is closed. What a caller sends to a closed connection
+ * resets it, and a reset discards the end of the answer on its way.
+ */
+const LINGER_MS = 300;
+
 /** Codes of errors that a caller causes by closing its connection. */
 const CALLER_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -83,14 +92,44 @@
 export function createConnectionTracker({onCut}: ConnectionTrackerOptions): ConnectionTracker {
 	const connections = new Map<Socket, TrackedConnection>();
 	const requests = new Map<ServerResponse, TrackedRequest>();
+	let lingeringCount = 0;
 	let isStopping = false;
 
+	/** Ends the sending side of a connection, reads nothing more, and closes it after a while. */
+	const closeLingering = (socket: Socket, connection: TrackedConnection) => {
+		if (connection.isLingering || socket.destroyed) {
+			return;
+		}
+
+		connection.isLingering = true;
+		lingeringCount += 1;
+		socket.end();
+		stopReading(socket);
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, LINGER_MS);
+		socket.on('close', () => {
+			lingeringCount -= 1;
+			clearTimeout(timer);
+		});
+	};
+
 	return {
 		recordConnection(socket) {
 			const connection: TrackedConnection = {
-				answeredBytes: 0, openRequests: 0, lastResponse: undefined, isEndedByCaller: false, errorCode: undefined,
+				answeredBytes: 0, openRequests: 0, lastResponse: undefined, isEndedByCaller: false, isLingering: false, errorCode: undefined,
 			};
 			connections.set(socket, connection);
+			const destroySoon = socket.destroySoon.bind(socket);
+			// The HTTP server calls this behind an answer that announces the close.
+			socket.destroySoon = () => {
+				if (isStopping) {
+					closeLingering(socket, connection);
+				} else {
+					destroySoon();
+				}
+			};
+
 			socket.on('end', () => {
 				connection.isEndedByCaller = true;
 			});
@@ -171,9 +210,11 @@
 			}
 		},
 		isClosing(socket) {
-			const response = connections.get(socket)?.lastResponse;
-			return response?.headersSent === true && !response.shouldKeepAlive;
+			const connection = connections.get(socket);
+			const response = connection?.lastResponse;
+			return connection?.isLingering === true || (response?.headersSent === true && !response.shouldKeepAlive);
 		},
+		countLingering: () => lingeringCount,
 		beginStop() {
 			isStopping = true;
 			for (const {lastResponse} of connections.values()) {
@@ -192,3 +233,9 @@
 		},
 	};
 }
+
+/** Reads nothing more at once. A stream that is paused still reads until its buffer is full. */
+function stopReading(socket: Socket): void {
+	socket.pause();
+	(socket as Socket & {readonly _handle?: {readonly readStop: () => void} | null})._handle?.readStop();
+}
