--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -91,12 +91,6 @@
 };
 type TrackedRequest = {stage: RequestStage};
 
-/**
- * Time from the end of the sending side of a connection until it is closed. What a caller sends to a closed connection
- * resets it, and a reset discards the end of the answer on its way.
- */
-const LINGER_MS = 300;
-
 /** Codes of errors that a caller causes by closing its connection. */
 const CALLER_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -139,16 +133,6 @@
 				errorCode: undefined,
 			};
 			connections.set(socket, connection);
-			const destroySoon = socket.destroySoon.bind(socket);
-			// The HTTP server calls this behind an answer that announces the close.
-			socket.destroySoon = () => {
-				if (isStopping) {
-					closeLingering(socket, connection);
-				} else {
-					destroySoon();
-				}
-			};
-
 			socket.on('end', () => {
 				connection.isEndedByCaller = true;
 			});
@@ -171,13 +155,6 @@
 			connection.openRequests += 1;
 			connection.responses.add(response);
 			requests.set(response, request);
-			const {lastResponse} = connection;
-			if (isStopping && lastResponse !== undefined && !lastResponse.headersSent) {
-				// The connection closes behind the last answer on it.
-				lastResponse.shouldKeepAlive = true;
-			}
-
-			connection.lastResponse = response;
 			response.on('close', () => {
 				requests.delete(response);
 				if (response.writableFinished) {
@@ -228,9 +205,7 @@
 		beginStop() {
 			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
-				if (lastResponse?.headersSent === false) {
-					lastResponse.shouldKeepAlive = false;
-				}
+				response.shouldKeepAlive = false;
 			}
 		},
 		closeIdle() {
@@ -242,9 +217,3 @@
 		},
 	};
 }
-
-/** Reads nothing more at once. A stream that is paused still reads until its buffer is full. */
-function stopReading(socket: Socket): void {
-	socket.pause();
-	(socket as Socket & {readonly _handle?: {readonly readStop: () => void} | null})._handle?.readStop();
-}
--- a/packages/daemon/src/direct/drainCallers.ts
+++ b/packages/daemon/src/direct/drainCallers.ts
@@ -20,7 +20,7 @@
 	readonly onClosing: () => void;
 };
 
-/** Accepts no further connection, waits until no request is in progress and all answers are delivered, or the grace ends, and closes all connections. */
+/** Accepts no further connection, waits until no request is in progress or the grace ends, and closes all connections. */
 export async function drainCallers({server, connections, endsAtMs, onGraceEnded, onClosing}: DrainOptions): Promise<void> {
 	const closed = new Promise<void>(resolve => {
 		// The HTTP server's own method also destroys connections whose answer is not read yet.
