Read nothing more of a connection that closes behind a refusal, and copy no long chunks

What callers saw: beside a crowd whose bodies are refused, an entry took more memory than before. Cause: a connection that closes behind its answer was read on for up to 1 s, and each read is memory that is freed late; large chunks were copied once to join them with others. Such a connection is paused, and data longer than 2 KB is handed on as it was read.

--- a/packages/core/src/framing/decodeChunks.ts
+++ b/packages/core/src/framing/decodeChunks.ts
@@ -42,10 +42,12 @@
 
 /** What was read of a chunked body. */
 export type DecodedChunks = {
-	/** Bytes read. Fewer than given only where the body ends or is not valid. */
+	/** Bytes read. Fewer than given where the body ends or is not valid, and before or behind a long run of data. */
 	readonly readBytes: number;
-	/** Bytes of data. */
+	/** Bytes of data that were written to the output. */
 	readonly dataBytes: number;
+	/** Data that is too long to be copied. Nothing was written to the output then. */
+	readonly run?: Uint8Array;
 };
 
 type PartHandler = (decoder: ChunkDecoder, byte: number) => ChunkPart;
@@ -66,6 +68,9 @@
 /** Length up to which bytes are copied one by one. */
 const SHORT_RUN_BYTES = 32;
 
+/** Length up to which data is copied, so that it joins that of other chunks. */
+const MAX_COPIED_RUN_BYTES = 2048;
+
 /** Marks a byte that is no digit. */
 const NO_VALUE = 255;
 /** Values of hexadecimal digits, by byte. */
@@ -162,7 +167,7 @@
 }
 
 /**
- * Reads more bytes of a chunked body up to the line of its last chunk. Whatever deviates from the specification makes it invalid.
+ * Reads more bytes of a chunked body, at most up to the line of its last chunk or around a long run of data. Whatever deviates from the specification makes it invalid.
  *
  * @param decoder - changed in place
  * @param output - the data is written to it; at least as long as `bytes`
@@ -173,11 +178,20 @@
 	while (index < bytes.length) {
 		if (decoder.part === CHUNK_PARTS.data) {
 			const runBytes = Math.min(decoder.chunkBytes, bytes.length - index);
+			const isCopied = runBytes <= MAX_COPIED_RUN_BYTES;
+			if (!isCopied && dataBytes > 0) {
+				break;
+			}
+
+			decoder.chunkBytes -= runBytes;
+			decoder.part = decoder.chunkBytes === 0 ? CHUNK_PARTS.dataReturn : CHUNK_PARTS.data;
+			if (!isCopied) {
+				return {readBytes: index + runBytes, dataBytes, run: bytes.subarray(index, index + runBytes)};
+			}
+
 			copyRun(bytes, index, output, {at: dataBytes, runBytes});
 			index += runBytes;
 			dataBytes += runBytes;
-			decoder.chunkBytes -= runBytes;
-			decoder.part = decoder.chunkBytes === 0 ? CHUNK_PARTS.dataReturn : CHUNK_PARTS.data;
 			continue;
 		}
 
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -113,7 +113,9 @@
 		socket.off('data', parse!);
 		socket.on('data', (bytes: Buffer) => {
 			// What comes once the connection closes behind an answer is read, so that it does not reset the connection, and ignored.
-			if (!socket.writableEnded) {
+			if (socket.writableEnded) {
+				pauseSocket();
+			} else {
 				requestReader.receive(bytes);
 			}
 		});
--- a/packages/daemon/src/direct/createRequestReader.ts
+++ b/packages/daemon/src/direct/createRequestReader.ts
@@ -86,6 +86,7 @@
 const MAX_WORK_MS = 1;
 /** Bytes around the data of a chunk: its size in hexadecimal digits and two line breaks. */
 const MAX_CHUNK_FRAME_BYTES = 16;
+const LINE_BREAK = Buffer.from('\r\n');
 const LAST_CHUNK = Buffer.from('0\r\n');
 const NO_BYTES = Buffer.alloc(0);
 /** Memory that data of chunks is written to before it is copied. Grows to the longest read. */
@@ -232,12 +233,18 @@
 				return false;
 			}
 
-			const {readBytes, dataBytes} = decodeChunks(decoder, unread, takeScratch(unread.length));
+			const {readBytes, dataBytes, run} = decodeChunks(decoder, unread, takeScratch(unread.length));
 			unread = unread.subarray(readBytes);
 			if (dataBytes > 0) {
 				parse(formatChunk(dataBytes));
 			}
 
+			if (run !== undefined) {
+				parse(Buffer.from(`${run.length.toString(16)}\r\n`));
+				parse(run as Buffer);
+				parse(LINE_BREAK);
+			}
+
 			if (decoder.part === CHUNK_PARTS.end) {
 				parse(LAST_CHUNK);
 				scan = createHeadScan({skipsLeadingBreaks: false});
