Remove what joining the reading and closing of callers' connections made dead

The reader checked for a closing connection before each head; nothing is parsed of one any more, since the throttle asks first. Two members were exported for nobody.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -74,9 +74,7 @@
 	readonly applyLimits: (limits: CallerLimits) => void;
 	/** Refuses the requests whose bodies are still being read. */
 	readonly refuseReading: () => void;
-	/** Returns the requests that are not parsed yet, with the bytes that they hold. */
-	readonly listHeld: () => readonly HeldRequest[];
-	/** Refuses such a request, which no target knows, and closes its connection. */
+	/** Refuses a request that is not parsed yet, which no target knows, and closes its connection. */
 	readonly refuseHeld: (held: Pick<HeldRequest, 'socket'>, failure?: Failure) => void;
 };
 
@@ -279,7 +277,6 @@
 	});
 	return {
 		server,
-		listHeld: throttle.listHeld,
 		refuseHeld,
 		refuseReading() {
 			const failure = createFailure(ERROR_CODES.leaving, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
@@ -313,7 +310,7 @@
 	incoming.headers = {};
 }
 
-/** Reads the rest of a body without keeping it, so that its caller can read the answer. */
+/** Keeps nothing of the rest of a body. */
 function discardRest(incoming: IncomingMessage): void {
 	incoming.removeAllListeners('data').resume();
 }
--- a/packages/daemon/src/direct/createCallerThrottle.ts
+++ b/packages/daemon/src/direct/createCallerThrottle.ts
@@ -10,8 +10,6 @@
 	readonly findReader: (socket: Socket) => RequestReader | undefined;
 	/** Returns the requests that the HTTP server does not know yet. */
 	readonly listHeld: () => readonly HeldRequest[];
-	/** Reads nothing more of a connection that is about to be closed. */
-	readonly hold: (socket: Socket) => void;
 	/** Runs a task in the next turn of a connection, of which nothing more is read. */
 	readonly runInTurn: (socket: Socket, task: () => void) => void;
 };
@@ -149,7 +147,6 @@
 		},
 		findReader: socket => connections.get(socket)?.requestReader,
 		listHeld: () => [...connections.values()].map(({requestReader}) => requestReader.findHeld()).filter(held => held !== undefined),
-		hold,
 		runInTurn(socket, task) {
 			const connection = connections.get(socket);
 			if (connection !== undefined && connection.task === undefined) {
--- a/packages/daemon/src/direct/createRequestReader.ts
+++ b/packages/daemon/src/direct/createRequestReader.ts
@@ -162,15 +162,6 @@
 		return endsAt !== undefined;
 	};
 
-	/** Forgets a request that crosses the close of its connection, which cannot be answered. Returns whether it did. */
-	const discardCrossing = () => {
-		if (!socket.writable) {
-			discard();
-		}
-
-		return !socket.writable;
-	};
-
 	/** Returns whether a section that is whole may be parsed now. Asks for a turn if it costs much. */
 	const mayParseSection = (): boolean => {
 		if (isTurn || !isHeadCostly(scan)) {
@@ -189,7 +180,7 @@
 	/** Steps by name. Each returns whether it made progress. */
 	const runStep: Readonly<Record<Step, () => boolean>> = {
 		head() {
-			if (discardCrossing() || unread.length === 0) {
+			if (unread.length === 0) {
 				return false;
 			}
 
@@ -202,7 +193,7 @@
 			return true;
 		},
 		wholeHead() {
-			if (discardCrossing() || !mayParseSection()) {
+			if (!mayParseSection()) {
 				return false;
 			}
 
