Separate sending a further attempt from refusing the call

Cause: planNextAttempt either sent an attempt or refused its call, so that callers which had another use for a refusal dropped its effects after the call was gone already. Change: sendNextAttempt leaves the call as it was if nothing can be sent; planNextAttempt refuses then. What an attempt holds at its target moved to attemptWork.ts, refusals to refuseCall.ts. No decision changes.

--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -4,8 +4,9 @@
 import {ANSWER_FRAMINGS} from '../request/answerFraming.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
 import {
-	recordFirstBytes, countUsage, endAttempt, planNextAttempt, createRefusal, releaseHandover, releaseReservation,
-} from './callAttempts.js';
+	countUsage, endAttempt, recordFirstBytes, releaseHandover,
+} from './attemptWork.js';
+import {planNextAttempt, sendNextAttempt} from './callAttempts.js';
 import {takeCharge} from './callCharges.js';
 import {listSharedPartIds, reportPartDecisions, suspectCrash} from './crashHandlers.js';
 import {
@@ -13,6 +14,7 @@
 } from './streamContinuity.js';
 import {endCall} from './endCall.js';
 import {refuseArrival} from './refuseArrival.js';
+import {createRefusal} from './refuseCall.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
 import {
 	ATTEMPT_RESULTS, type CallRequest, type ServingEffect, type ServingEvent,
@@ -88,11 +90,11 @@
 			call.failedPrefillCount += 1;
 			call.excludedTargetIds.add(attempt.target.record.targetId);
 			advanceRequest(call, {type: 'failNotRun'});
-			return planNextAttempt(state, call, nowMs);
+			return planNextAttempt(state, call, {nowMs});
 		}
 
 		advanceRequest(call, {type: 'failNotRun'});
-		return planNextAttempt(state, call, nowMs, {address: attempt.target.record.address, handleId});
+		return planNextAttempt(state, call, {nowMs, handle: {address: attempt.target.record.address, handleId}});
 	},
 	'attempt.ended'(state, event) {
 		const call = state.calls.get(event.callId);
@@ -187,7 +189,7 @@
 	state.retryBudget.recordRequest(serviceId, nowMs);
 	return [
 		{type: 'call.startTimeout', callId, afterMs: Math.max(0, call.timeoutAtMs - nowMs)},
-		...planNextAttempt(state, call, nowMs),
+		...planNextAttempt(state, call, {nowMs}),
 	];
 }
 
@@ -221,7 +223,7 @@
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		const next = advanceRequest(call, {type: 'failUnknown'});
 		if (next === 'retrying') {
-			return [createAttemptRecord(call, 'unknown', event), ...probeEffects, ...planNextAttempt(state, call, nowMs)];
+			return [createAttemptRecord(call, 'unknown', event), ...probeEffects, ...planNextAttempt(state, call, {nowMs})];
 		}
 
 		return [
@@ -234,9 +236,9 @@
 	closed(state, call, event) {
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		advanceRequest(call, {type: 'failUnknown'});
-		const confirmation = planNextAttempt(state, call, event.nowMs);
-		if (confirmation.some(({type}) => type === 'attempt.send')) {
-			return [createAttemptRecord(call, 'closed', event), ...confirmation];
+		const next = sendNextAttempt(state, call, event);
+		if (next.isSent) {
+			return [createAttemptRecord(call, 'closed', event), ...next.effects];
 		}
 
 		// No target can be asked what is left, so the end of the connection counts as the end of the stream, as in other answers.
@@ -256,11 +258,10 @@
 			advanceRequest(call, {type: 'failUnknown'});
 		}
 
-		const retryEffects = isStreamBroken || (call.route.kind === ROUTE_KINDS.safe && !call.isResponseStarted)
-			? planNextAttempt(state, call, nowMs, undefined, true)
-			: undefined;
-		if (retryEffects?.some(({type}) => type === 'attempt.send')) {
-			return [createAttemptRecord(call, 'failed', event), ...retryEffects];
+		const isRetryable = isStreamBroken || (call.route.kind === ROUTE_KINDS.safe && !call.isResponseStarted);
+		const next = isRetryable ? sendNextAttempt(state, call, {nowMs}) : undefined;
+		if (next?.isSent === true) {
+			return [createAttemptRecord(call, 'failed', event), ...next.effects];
 		}
 
 		return [
@@ -275,7 +276,7 @@
 function retryNotRun(state: ServingState, call: ServingCall, event: AttemptEnded): readonly ServingEffect[] {
 	call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 	advanceRequest(call, {type: 'failNotRun'});
-	return [createAttemptRecord(call, 'notRun', event), ...planNextAttempt(state, call, event.nowMs)];
+	return [createAttemptRecord(call, 'notRun', event), ...planNextAttempt(state, call, {nowMs: event.nowMs})];
 }
 
 /**
--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -1,4 +1,4 @@
-import {endAttempt, releaseHandover, releaseReservation} from './callAttempts.js';
+import {endAttempt, releaseHandover, releaseReservation} from './attemptWork.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
--- a/packages/core/src/serving/stopHandlers.ts
+++ b/packages/core/src/serving/stopHandlers.ts
@@ -5,10 +5,10 @@
 import {ERROR_CODES, OUTCOMES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest} from '../request/requestRecord.js';
-import {createRefusal} from './callAttempts.js';
 import {createEntryRecord} from './createEntryRecord.js';
 import {endCall} from './endCall.js';
 import {LEAVING_RETRY_AFTER_MS} from './refuseArrival.js';
+import {createRefusal} from './refuseCall.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
--- a/packages/core/src/serving/unresponsiveTargetHandlers.ts
+++ b/packages/core/src/serving/unresponsiveTargetHandlers.ts
@@ -6,7 +6,8 @@
 import {recordFault} from '../placement/placementState.js';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest} from '../request/requestRecord.js';
-import {endAttempt, planNextAttempt} from './callAttempts.js';
+import {endAttempt} from './attemptWork.js';
+import {planNextAttempt} from './callAttempts.js';
 import {ATTEMPT_RESULTS, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {ROUTE_KINDS} from './servingRecords.js';
 import {type ServingCall, type ServingState} from './servingState.js';
@@ -75,5 +76,5 @@
 	call.failedPrefillCount += attempt.isPrefillOnly ? 1 : 0;
 	call.excludedTargetIds.add(attempt.target.record.targetId);
 	advanceRequest(call, {type: attempt.isPrefillOnly ? 'failNotRun' : 'failUnknown'});
-	return [{type: 'attempt.cancel', callId, attemptId: attempt.attemptId}, ...planNextAttempt(state, call, nowMs)];
+	return [{type: 'attempt.cancel', callId, attemptId: attempt.attemptId}, ...planNextAttempt(state, call, {nowMs})];
 }
