Let a target that is asked what is left take no stream away that another has ended

What callers saw: a resumable stream whose target sent every event and closed its connection properly was cut off by the entry. Cause: where a service also sends streams in chunks, such an end is doubted, and another target is asked what is left. Any failure of that one was handled as if the first had broken off: the call was refused, which closes a connection whose head is sent. Only where no target could be asked did the end count. Change: the call remembers the end that its target has given (closedEnd) until a further event shows that it was none. What the other target does can only add events: if it fails, refuses, may not be asked or is silent for half of the time for which callers wait, if the call expires or the entry stops, the stream is complete. A target that ends its streams by closing alone is not doubted any more once three have ended so, which costs no retry. call.ended says why an end was not confirmed.

--- a/packages/core/src/placement/placementState.ts
+++ b/packages/core/src/placement/placementState.ts
@@ -39,6 +39,14 @@
 	readonly order: number;
 };
 
+/** Streams of a target by how they ended. */
+export type StreamEnds = {
+	/** By their length or last chunk, or by closing the connection too early. */
+	delimited: number;
+	/** By closing the connection, when nothing was left. */
+	closed: number;
+};
+
 /** A target and what this entry knows about its state. */
 export type PlacedTarget = {
 	record: TargetRecord;
@@ -65,6 +73,7 @@
 	speed: TargetSpeed | undefined;
 	/** Last time at which a response of the target began or ended. */
 	lastResponseAtMs: number;
+	streamEnds: StreamEnds;
 };
 
 /** The targets of a service, and what this entry has running there. */
@@ -178,7 +187,15 @@
 /** Creates what is known of one incarnation of a target, of which nothing was observed yet. */
 function createIncarnationState() {
 	return {
-		backoffUntilMs: 0, consecutiveFailures: 0, pausedUntilMs: 0, limit: undefined, limitShare: undefined, statedLoad: undefined, workTime: undefined, speed: undefined,
+		backoffUntilMs: 0,
+		consecutiveFailures: 0,
+		pausedUntilMs: 0,
+		limit: undefined,
+		limitShare: undefined,
+		statedLoad: undefined,
+		workTime: undefined,
+		speed: undefined,
+		streamEnds: {delimited: 0, closed: 0},
 	} satisfies Partial<PlacedTarget>;
 }
 
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -8,13 +8,14 @@
 import {addQueuedWork, releaseReservation} from './attemptWork.js';
 import {takeRetryCharge} from './callCharges.js';
 import {listSharedPartIds} from './crashHandlers.js';
-import {refuseExhaustedCall} from './refuseCall.js';
+import {endExhaustedCall} from './refuseCall.js';
 import {
 	type AttemptPlan, type KvCacheHandle, planAttempt, planHandover, type Refusal,
 } from './planAttempt.js';
 import {hasEarlierEvents} from './streamContinuity.js';
 import {type ServingEffect} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
+import {findClosedEnd, isCloseDoubtful} from './streamEnds.js';
 
 /** Remaining time of a call below which no attempt is sent. */
 const MIN_REMAINING_MS = 20;
@@ -46,7 +47,7 @@
  */
 export function planNextAttempt(state: ServingState, call: ServingCall, {nowMs, handle}: NextAttemptOptions): readonly ServingEffect[] {
 	const next = sendNextAttempt(state, call, {nowMs, handle});
-	return next.isSent ? next.effects : [...refuseExhaustedCall(state, call, nowMs, next), ...releaseHandle(call, handle, nowMs)];
+	return next.isSent ? next.effects : [...endExhaustedCall(state, call, nowMs, next), ...releaseHandle(call, handle, nowMs)];
 }
 
 /**
@@ -135,7 +136,7 @@
 		fetchAddress: plan.cacheSource?.record.address,
 		isResumable: call.route.isResumable,
 		isTakeUp: hasEarlierEvents(call),
-		isCloseDoubtful: call.route.isResumable && state.servicesWithDelimitedStreams.has(call.serviceId),
+		isCloseDoubtful: isCloseDoubtful(state, call, plan.target),
 	};
 }
 
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -1,7 +1,6 @@
 import {ERROR_CODES, type ErrorCode, OUTCOMES} from '@damaskspool/shared';
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {listServiceTargets} from '../placement/placementState.js';
-import {ANSWER_FRAMINGS} from '../request/answerFraming.js';
 import {advanceRequest, createRequestSnapshot} from '../request/requestRecord.js';
 import {
 	countUsage, endAttempt, recordFirstBytes, releaseHandover,
@@ -12,7 +11,7 @@
 import {
 	findStreamVersion, isResumption, recordStreamVersion, toStreamRequestId,
 } from './streamContinuity.js';
-import {endCall} from './endCall.js';
+import {completeClosedCall, CONFIRMATION_ENDS, endCall} from './endCall.js';
 import {refuseArrival} from './refuseArrival.js';
 import {createRefusal} from './refuseCall.js';
 import {resolveServingRoute, pickService} from './resolveServingRoute.js';
@@ -23,6 +22,9 @@
 import {type ServingCall, type ServingState} from './servingState.js';
 import {recordAttemptSpeed} from './speedUpdates.js';
 import {mayEndInTime} from './stopHandlers.js';
+import {
+	beginConfirmation, beginRest, findClosedEnd, recordStreamEnd,
+} from './streamEnds.js';
 import {type CallArrived, holdTakeUp, mayConfirmVersion} from './streamTakeUps.js';
 
 /** Handlers of the events of a call, from its arrival to its end. */
@@ -48,6 +50,10 @@
 			return [{type: 'call.startTimeout', callId, afterMs: call.lastTimeoutAtMs - nowMs}];
 		}
 
+		if (findClosedEnd(call) !== undefined) {
+			return completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.expired});
+		}
+
 		const effects = endCall(state, call, {nowMs, outcome: 'expired'});
 		return [...effects, createRefusal(call, ERROR_CODES.deadlineExceeded, OUTCOMES.refusedUnknown)];
 	},
@@ -62,6 +68,7 @@
 		releaseHandover(call);
 		recordFirstBytes(state, call, {nowMs, wallMs});
 		call.isResponseStarted = true;
+		beginRest(call);
 		call.firstByteAtMs ??= nowMs;
 		recordStreamVersion(state, call, nowMs);
 		advanceRequest(call, {type: 'answer'});
@@ -184,6 +191,7 @@
 		placementDetail: undefined,
 		measurements: [],
 		isResponseStarted: false,
+		closedEnd: undefined,
 	};
 	state.calls.set(callId, call);
 	state.retryBudget.recordRequest(serviceId, nowMs);
@@ -199,10 +207,10 @@
 /** Handlers of the end of an attempt, by its result. */
 const attemptEndHandlers: Readonly<Record<AttemptEnded['result'], AttemptEndHandler>> = {
 	answered(state, call, event) {
-		const {request, route, serviceId} = call;
-		const {nowMs, framing} = event;
-		if (route.kind === ROUTE_KINDS.stream && framing !== undefined && framing !== ANSWER_FRAMINGS.connection) {
-			state.servicesWithDelimitedStreams.add(serviceId);
+		const {request, route} = call;
+		const {nowMs} = event;
+		if (route.kind === ROUTE_KINDS.stream) {
+			recordStreamEnd(state, call, event);
 		}
 
 		state.poisonRequests.recordAnswer(request.fingerprint);
@@ -236,17 +244,8 @@
 	closed(state, call, event) {
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		advanceRequest(call, {type: 'failUnknown'});
-		const next = sendNextAttempt(state, call, event);
-		if (next.isSent) {
-			return [createAttemptRecord(call, 'closed', event), ...next.effects];
-		}
-
-		// No target can be asked what is left, so the end of the connection counts as the end of the stream, as in other answers.
-		return [
-			createAttemptRecord(call, 'closed', event),
-			...endCall(state, call, {nowMs: event.nowMs, outcome: 'answered', answer: event}),
-			{type: 'call.complete', callId: call.callId},
-		];
+		beginConfirmation(call, event);
+		return [createAttemptRecord(call, 'closed', event), ...planNextAttempt(state, call, event)];
 	},
 	failed(state, call, event) {
 		const {callId} = call;
@@ -264,6 +263,10 @@
 			return [createAttemptRecord(call, 'failed', event), ...next.effects];
 		}
 
+		if (findClosedEnd(call) !== undefined) {
+			return [createAttemptRecord(call, 'failed', event), ...completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.failed})];
+		}
+
 		return [
 			createAttemptRecord(call, 'failed', event),
 			...endCall(state, call, {nowMs, outcome: 'failed'}),
--- a/packages/core/src/serving/servingReducer.ts
+++ b/packages/core/src/serving/servingReducer.ts
@@ -3,6 +3,7 @@
 import {createReducer} from '../reducer/createReducer.js';
 import {requestUsageHandlers} from '../usage/requestUsageHandlers.js';
 import {callHandlers} from './callHandlers.js';
+import {confirmationHandlers} from './confirmationHandlers.js';
 import {crashHandlers} from './crashHandlers.js';
 import {evennessHandlers} from './evennessHandlers.js';
 import {partHistoryHandlers} from './partHistoryHandlers.js';
@@ -26,6 +27,7 @@
 		takeUpHandlers,
 		crashHandlers,
 		partHistoryHandlers,
+		confirmationHandlers,
 		unresponsiveTargetHandlers,
 		leaseHandlers,
 		requestUsageHandlers,
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -22,6 +22,7 @@
 import {type AttemptMeasurement} from './describeMeasurement.js';
 import {type CallRequest, type PeerReport} from './servingMessages.js';
 import {type RouteRecord, type ServingConfiguration} from './servingRecords.js';
+import {type ClosedEnd} from './streamEnds.js';
 import {type CallArrived} from './streamTakeUps.js';
 
 /** The current attempt of a call. */
@@ -95,6 +96,8 @@
 	readonly measurements: AttemptMeasurement[];
 	/** Whether bytes of a response were sent to the caller. */
 	isResponseStarted: boolean;
+	/** End of its stream that another target is asked to confirm. */
+	closedEnd: ClosedEnd | undefined;
 };
 
 /** Complete state of an entry that sends to targets directly. */
--- a/packages/core/src/serving/stopHandlers.ts
+++ b/packages/core/src/serving/stopHandlers.ts
@@ -6,11 +6,12 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest} from '../request/requestRecord.js';
 import {createEntryRecord} from './createEntryRecord.js';
-import {endCall} from './endCall.js';
+import {completeClosedCall, CONFIRMATION_ENDS, endCall} from './endCall.js';
 import {LEAVING_RETRY_AFTER_MS} from './refuseArrival.js';
 import {createRefusal} from './refuseCall.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
+import {findClosedEnd} from './streamEnds.js';
 
 /**
  * Returns whether a call may be taken although a stop was requested: its timeout ends before the entry does.
@@ -33,6 +34,10 @@
 
 /** Answers a call that is not over when the entry ends. It is said not to have run only if no target can have run it. */
 function endUnfinishedCall(state: ServingState, call: ServingCall, nowMs: number): readonly ServingEffect[] {
+	if (findClosedEnd(call) !== undefined) {
+		return completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.stopped});
+	}
+
 	advanceRequest(call, {type: call.attempt?.isPrefillOnly === true ? 'failNotRun' : 'failUnknown'});
 	const isNotRun = advanceRequest(call, {type: 'exhaust'}) === 'refusedNotRun' && !call.isUsageCounted;
 	return [
