--- a/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
+++ b/packages/stand-ins/src/fault-proxy/createFaultProxy.ts
@@ -31,6 +31,8 @@
 	readonly silenceOpenConnections: () => void;
 	/** Ends like a process that crashes, until {@link resume} is called: resets or closes every open connection and refuses new ones. */
 	readonly crash: (options?: {readonly isReset?: boolean}) => void;
+	/** Refuses new connections until {@link resume} is called. The open ones stay. */
+	readonly stopListening: () => void;
 	/** Listens again at the same address, unless the proxy was closed meanwhile. */
 	readonly resume: () => Promise<void>;
 };
@@ -162,6 +164,9 @@
 				destroyAll();
 			}
 		},
+		stopListening() {
+			server.close();
+		},
 		async resume() {
 			if (!isClosed && !server.listening) {
 				server.listen(ownPort, '127.0.0.1');
