Say which signs decided the end of an answer that ended with its connection

The log said that such an answer was taken for broken because its target 'ended with the connection', but not whether that target had announced that it stops, which tells a process that was killed from one that leaves. For an answer that counted as whole nothing was said.

attempt.ended and call.ended now state closeSigns: whether the target accepts connections after the end, and whether it has announced that it stops or its registration was removed. No decision changes.

--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -298,10 +298,10 @@
 	}
 }
 
-function createAttemptRecord({request, attempt}: ServingCall, result: string, {detail, framing, lastEventId}: AttemptEnded): ServingEffect {
+function createAttemptRecord({request, attempt}: ServingCall, result: string, {detail, framing, closeSigns, lastEventId}: AttemptEnded): ServingEffect {
 	return {
 		type: 'decision.record', name: 'attempt.ended', subject: request.requestId, detail: {
-			result, detail, target: attempt?.target.record.targetId, framing, lastEventId, ...(result === ATTEMPT_RESULTS.unknown && {parts: listSharedPartIds(request)}),
+			result, detail, target: attempt?.target.record.targetId, framing, closeSigns, lastEventId, ...(result === ATTEMPT_RESULTS.unknown && {parts: listSharedPartIds(request)}),
 		},
 	};
 }
--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -12,7 +12,7 @@
 } as const;
 
 /** How an answer was framed and after which event it ended. */
-type AnswerDescription = Pick<Extract<ServingEvent, {type: 'attempt.ended'}>, 'framing' | 'lastEventId'>;
+type AnswerDescription = Pick<Extract<ServingEvent, {type: 'attempt.ended'}>, 'framing' | 'closeSigns' | 'lastEventId'>;
 
 /** How a call ended. */
 type CallEnd = {
@@ -45,6 +45,7 @@
 			waitedMs: Math.round(call.waitedMs),
 			beganMs: call.firstByteAtMs === undefined ? undefined : Math.round(call.firstByteAtMs - call.arrivedAtMs),
 			framing: answer?.framing,
+			closeSigns: answer?.closeSigns,
 			lastEventId: answer?.lastEventId,
 			confirmation,
 			plan: call.placementDetail,
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,5 +1,6 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
 import {type AnswerFraming} from '../request/answerFraming.js';
+import {type CloseSigns} from '../request/closedAnswer.js';
 import {type ReportedAllotment} from '../allotments/createAllotments.js';
 import {type ReportedLimit} from '../limits/targetLimit.js';
 import {type ReportedSpeed} from '../placement/reportedSpeed.js';
@@ -190,6 +191,8 @@
 			readonly detail: string;
 			/** Undefined if no answer came. */
 			readonly framing?: AnswerFraming | undefined;
+			/** Undefined unless the answer ended with its connection. */
+			readonly closeSigns?: CloseSigns | undefined;
 			/** Last event that the caller has; undefined outside of streams. */
 			readonly lastEventId?: string | undefined;
 		}>
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -26,6 +26,8 @@
 	readonly isPaused: (targetId: string) => boolean;
 	/** Whether a target has named a limit, or ended one lately. */
 	readonly isLimited: (targetId: string) => boolean;
+	/** Whether a target has announced that it stops, or its registration was removed. */
+	readonly isLeaving: (target: TargetRecord) => boolean;
 	/** Returns milliseconds since 1970. */
 	readonly readWallClock: () => number;
 	readonly dispatch: (event: UntimedEvent<ServingEvent>) => void;
@@ -43,7 +45,7 @@
 };
 
 /** Creates the handlers of effects that concern calls, with an empty registry of calls. */
-export function createCallEffects({ports, metrics, pools, memoryLedger, computeMaxConnections, isPaused, isLimited, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
+export function createCallEffects({ports, metrics, pools, memoryLedger, computeMaxConnections, isPaused, isLimited, isLeaving, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
 	const handles = new Map<number, CallHandle>();
 	/** Functions that cancel the timeouts of calls. */
 	const timeouts = new Map<number, () => void>();
@@ -92,6 +94,7 @@
 					recordRefusal: pools.recordRefusal,
 					isPaused: () => isPaused(target.targetId),
 					isTargetListening: async () => probeTarget(target.address, {delayMs: 0}),
+					isTargetLeaving: () => isLeaving(target),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
 						if (notice.isLeaving || notice.pauseMs > 0 || tellsLimit || notice.load?.workTimeFactor !== undefined) {
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -183,6 +183,10 @@
 		computeMaxConnections,
 		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
 		isLimited: targetId => state.placement.targets.get(targetId)?.limit !== undefined,
+		isLeaving({targetId, startedAtMs}) {
+			const record = state.placement.targets.get(targetId)?.record;
+			return record === undefined || (record.startedAtMs === startedAtMs && record.isLeaving);
+		},
 		readWallClock,
 		dispatch(event) {
 			loop.dispatch(event);
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS,
+	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, type CloseSigns, decideAnswerUse, isNotRunStatus, SENT_FORMS,
 	type SendServingAttempt, type SentForm, type TargetNotice,
 } from '@damaskspool/core';
 import {
@@ -22,6 +22,8 @@
 	readonly detail: string;
 	/** Undefined if no answer came. */
 	readonly framing: AnswerFraming | undefined;
+	/** Undefined unless the answer ended with its connection. */
+	readonly closeSigns: CloseSigns | undefined;
 	readonly lastEventId: string | undefined;
 };
 
@@ -38,6 +40,8 @@
 	readonly isPaused: () => boolean;
 	/** Checks whether the target accepts connections; undefined if that is not known. */
 	readonly isTargetListening: () => Promise<boolean | undefined>;
+	/** Whether the target has announced that it stops, or its registration was removed. */
+	readonly isTargetLeaving: () => boolean;
 	/** Called when bytes of the connection were part of a response. */
 	readonly onProgress: () => void;
 	/** Records the head of an answer. Returns whether it is the first of its connection. */
@@ -79,13 +83,17 @@
  * @returns a function that cancels the attempt; no callback of `options` is called after that
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
+	const {
+		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, isTargetLeaving,
+		onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded,
+	} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isSent = false;
 	let hasBegun = false;
 	let framing: AnswerFraming | undefined;
+	let closeSigns: CloseSigns | undefined;
 	let discardedBytes = 0;
 	let discardedPieces = 0;
 	let sink: BodySink | undefined;
@@ -115,7 +123,7 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail, framing, lastEventId: handle.lastEventId,
+			result, isResponseStarted: response.headersSent, hasRun, detail, framing, closeSigns, lastEventId: handle.lastEventId,
 		});
 	};
 
@@ -313,6 +321,7 @@
 			return;
 		}
 
+		closeSigns = {isListening, isLeaving: isTargetLeaving()};
 		if (isListening === false) {
 			finish(ATTEMPT_RESULTS.unknown, 'the target ended with the connection of its response');
 		} else {
