Keep the last answers of a target that leaves, when they end with their connection

What callers saw: a target that leaves has stopped listening and ends its last answers properly. Those without a length or chunks never arrived whole: streams were cut, other answers replaced by a 502, though they ran once and were sent whole.

Cause: one sign, whether the target accepts connections after the end, decided alone. It tells a killed process from a living one, and not from one that has stopped listening.

Why it works: decideClosedAnswer weighs several signs. While an answer of this kind lasts, one silent connection to its target is held. If the target refuses it and goes on with the answer for longer than the ends of all connections of one process are apart (250 ms), it lives without listening. If it is held and outlives the answer by 250 ms, the process lives; if it closes with the answer, the process has ended, also where a leave was announced. Without such a connection, an announced leave lets the close count as the protocol says, for a resumable stream only after another target was asked what is left. Only a target that refuses connections makes the caller wait for the 250 ms.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,7 +47,7 @@
 export * from './request/answerFraming.js';
 export {LEAVING_RETRY_AFTER_MS} from './serving/refuseArrival.js';
 export * from './request/answerUse.js';
-export type * from './request/closedAnswer.js';
+export * from './request/closedAnswer.js';
 export * from './request/eventOrder.js';
 export * from './request/requestHandlers.js';
 export * from './request/requestMachine.js';
--- /dev/null
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {describe, it, type TestContext} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
+import {createTargetWatches} from '../createTargetWatches.js';
+
+const SETTLE_MS = 100;
+/** Longer than a process needs to end all of its connections. */
+const OUTLIVED_MS = 400;
+
+/** Listens like a target and keeps what connects to it. */
+async function startTarget(context: TestContext) {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.resume();
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const closeSockets = () => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	};
+
+	let unread = false;
+	const watches = createTargetWatches({hasUnread: () => unread});
+	context.after(() => {
+		watches.close();
+		closeSockets();
+		server.close();
+	});
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		sockets,
+		server,
+		closeSockets,
+		watches,
+		setUnread(isUnread: boolean) {
+			unread = isUnread;
+		},
+	};
+}
+
+describe('watches of a target', () => {
+	it('share one connection, and close it with the last of them and at the stop', async context => {
+		const {address, sockets, watches} = await startTarget(context);
+		const [first, second] = [watches.begin(address), watches.begin(address)];
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+		first.stop();
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+		second.stop();
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 0);
+		watches.begin(address);
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+		watches.close();
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 0);
+	});
+
+	it('open no connection for an answer that ends at once', async context => {
+		const {address, server, watches} = await startTarget(context);
+		let connectionCount = 0;
+		server.on('connection', () => {
+			connectionCount += 1;
+		});
+		watches.begin(address).stop();
+		await wait(SETTLE_MS);
+		assert.equal(connectionCount, 0);
+	});
+
+	for (const [name, isClosed, afterMs, expected] of [
+		['stays open behind the end', false, 0, 'open'],
+		['closes with the end', true, 0, 'closed'],
+		['closes shortly before the end', true, SETTLE_MS, 'closed'],
+		['has closed long before the end', true, OUTLIVED_MS, 'none'],
+	] as const) {
+		it(`tell that the connection ${name}`, async context => {
+			const {address, server, watches, closeSockets} = await startTarget(context);
+			const watch = watches.begin(address);
+			await wait(SETTLE_MS);
+			server.close();
+			if (isClosed) {
+				closeSockets();
+			}
+
+			await wait(afterMs);
+			const {isListening, witness} = await watch.findSigns();
+			assert.deepEqual([isListening, witness], [false, expected]);
+		});
+	}
+
+	it('take a refusal for outlived only if the answer was read for a while after it', async context => {
+		const {address, server, watches, setUnread} = await startTarget(context);
+		server.close();
+		const outlived = watches.begin(address);
+		const [early, paused] = [watches.begin(address), watches.begin(address)];
+		paused.setPaused(true);
+		await wait(SETTLE_MS);
+		const signs = [await early.findSigns()];
+		await wait(OUTLIVED_MS);
+		paused.setPaused(false);
+		signs.push(await outlived.findSigns(), await paused.findSigns());
+		setUnread(true);
+		const unread = watches.begin(address);
+		await wait(OUTLIVED_MS);
+		signs.push(await unread.findSigns());
+		assert.deepEqual(signs.map(({hasOutlivedRefusal}) => hasOutlivedRefusal), [false, true, false, false]);
+	});
+});
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -9,6 +9,7 @@
 import {type CallHandle} from './callHandle.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type TargetPools} from './createTargetPools.js';
+import {type TargetWatches} from './createTargetWatches.js';
 import {probeTarget} from './probeTarget.js';
 import {runAttempt} from './runAttempt.js';
 import {writeBufferedResponse} from './writeBufferedResponse.js';
@@ -19,6 +20,7 @@
 	readonly ports: DeploymentPorts;
 	readonly metrics: Metrics;
 	readonly pools: TargetPools;
+	readonly targetWatches: TargetWatches;
 	readonly memoryLedger: MemoryLedger;
 	/** Returns the maximum number of connections from this entry to one target of a service. */
 	readonly computeMaxConnections: (serviceId: string) => number;
@@ -45,7 +47,8 @@
 };
 
 /** Creates the handlers of effects that concern calls, with an empty registry of calls. */
-export function createCallEffects({ports, metrics, pools, memoryLedger, computeMaxConnections, isPaused, isLimited, isLeaving, readWallClock, dispatch}: CallEffectsOptions): CallEffects {
+export function createCallEffects(options: CallEffectsOptions): CallEffects {
+	const {ports, metrics, pools, targetWatches, memoryLedger, computeMaxConnections, isPaused, isLimited, isLeaving, readWallClock, dispatch} = options;
 	const handles = new Map<number, CallHandle>();
 	/** Functions that cancel the timeouts of calls. */
 	const timeouts = new Map<number, () => void>();
@@ -93,7 +96,7 @@
 					recordAnswer: pools.recordAnswer,
 					recordRefusal: pools.recordRefusal,
 					isPaused: () => isPaused(target.targetId),
-					isTargetListening: async () => probeTarget(target.address, {delayMs: 0}),
+					watchTarget: () => targetWatches.begin(target.address),
 					isTargetLeaving: () => isLeaving(target),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
@@ -123,6 +126,10 @@
 							handle.held.bodyBytes = 0;
 						}
 
+						if (attemptEnd.result === ATTEMPT_RESULTS.unreached && attemptEnd.detail === 'ECONNREFUSED') {
+							targetWatches.recordRefusal(target.address);
+						}
+
 						if (attemptEnd.result === ATTEMPT_RESULTS.unknown && !attemptEnd.isResponseStarted) {
 							pools.recordConnectionFailure();
 						}
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -27,6 +27,7 @@
 import {createMonotonicWallClock} from './createMonotonicWallClock.js';
 import {createSuspensionDetector} from './createSuspensionDetector.js';
 import {createTargetPools} from './createTargetPools.js';
+import {createTargetWatches} from './createTargetWatches.js';
 import {type DirectSettings, directSettingsSchema} from './directSettings.js';
 
 /** Options of {@link createDirectEntry}. */
@@ -93,6 +94,7 @@
 		},
 	});
 	const pools = createTargetPools({readGovernor});
+	const targetWatches = createTargetWatches({hasUnread: pools.hasUnread});
 	const connections = createConnectionTracker({
 		onCut({requestId, ...cut}) {
 			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"}`);
@@ -179,6 +181,7 @@
 		ports,
 		metrics,
 		pools,
+		targetWatches,
 		memoryLedger,
 		computeMaxConnections,
 		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
@@ -383,6 +386,7 @@
 			peerDirectory.stop();
 			readinessServer.close();
 			peerLink.close();
+			targetWatches.close();
 			await Promise.all([pools.close(), ports.close()]);
 		},
 	};
--- a/packages/daemon/src/direct/createTargetPools.ts
+++ b/packages/daemon/src/direct/createTargetPools.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {type Dispatcher, Pool} from 'undici';
 import {type TargetRecord} from '@damaskspool/core';
 import {governSocket, type ReadGovernor} from '@damaskspool/runtime';
@@ -18,6 +19,8 @@
 	readonly resolve: (target: TargetRecord, maxConnections: number) => Dispatcher;
 	/** Records that a connection failed before a response. Targets may be dropping idle connections, so all idle timeouts are shortened for a while. */
 	readonly recordConnectionFailure: () => void;
+	/** Whether bytes that a target has sent wait to be read. `address` is `ip:port`. */
+	readonly hasUnread: (address: string) => boolean;
 	/** Returns the number of open connections. */
 	readonly countConnections: () => number;
 	/** Closes the pools of all other targets, once their requests have completed. */
@@ -40,13 +43,13 @@
 /** Creates an empty set of connection pools. */
 export function createTargetPools({readGovernor}: {readonly readGovernor: ReadGovernor}): TargetPools {
 	const progressGuard = createProgressGuard();
-	let openConnections = 0;
+	const openSockets = new Set<Socket>();
 	const resetDetector = createResetDetector({
 		timeoutMs: CONNECT_TIMEOUT_MS,
 		onConnected(socket) {
-			openConnections += 1;
+			openSockets.add(socket);
 			socket.once('close', () => {
-				openConnections -= 1;
+				openSockets.delete(socket);
 			});
 			governSocket(socket, readGovernor);
 			progressGuard.watchSocket(socket);
@@ -89,7 +92,8 @@
 			});
 			return pool;
 		},
-		countConnections: () => openConnections,
+		hasUnread: address => [...openSockets].some(({remoteAddress, remotePort, readableLength}) => readableLength > 0 && `${remoteAddress}:${remotePort}` === address),
+		countConnections: () => openSockets.size,
 		recordConnectionFailure() {
 			shortIdleUntilMs = performance.now() + SHORT_IDLE_PERIOD_MS;
 		},
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,8 +1,8 @@
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, type CloseSigns, decideAnswerUse, isNotRunStatus, SENT_FORMS,
-	type SendServingAttempt, type SentForm, type TargetNotice,
+	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, CLOSED_ANSWER_USES, type CloseSigns,
+	decideAnswerUse, decideClosedAnswer, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type TargetNotice,
 } from '@damaskspool/core';
 import {
 	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
@@ -11,6 +11,7 @@
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {createEventSplitter} from './createEventSplitter.js';
 import {createForwarder} from './createForwarder.js';
+import {type TargetWatch} from './createTargetWatches.js';
 
 /** Result of an attempt, as the reducer receives it. */
 export type AttemptEnd = {
@@ -38,8 +39,8 @@
 	readonly isHandlingReset: () => boolean;
 	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
 	readonly isPaused: () => boolean;
-	/** Checks whether the target accepts connections; undefined if that is not known. */
-	readonly isTargetListening: () => Promise<boolean | undefined>;
+	/** Watches the target while an answer of it is under way that ends with its connection. */
+	readonly watchTarget: () => TargetWatch;
 	/** Whether the target has announced that it stops, or its registration was removed. */
 	readonly isTargetLeaving: () => boolean;
 	/** Called when bytes of the connection were part of a response. */
@@ -84,7 +85,7 @@
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
 	const {
-		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, isTargetLeaving,
+		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, watchTarget, isTargetLeaving,
 		onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded,
 	} = options;
 	const {response} = handle;
@@ -93,7 +94,9 @@
 	let isSent = false;
 	let hasBegun = false;
 	let framing: AnswerFraming | undefined;
+	let watch: TargetWatch | undefined;
 	let closeSigns: CloseSigns | undefined;
+	let {isCloseDoubtful} = attempt;
 	let discardedBytes = 0;
 	let discardedPieces = 0;
 	let sink: BodySink | undefined;
@@ -102,9 +105,11 @@
 		held: handle.held,
 		memoryLedger,
 		pause() {
+			watch?.setPaused(true);
 			controller?.pause();
 		},
 		resume() {
+			watch?.setPaused(false);
 			controller?.resume();
 		},
 	});
@@ -115,6 +120,7 @@
 		}
 
 		isFinished = true;
+		watch?.stop();
 		forwarder.flush();
 		handle.held.bufferedBytes = handle.bufferedResponse?.body.length ?? 0;
 		if (attempt.isPrefillOnly) {
@@ -172,6 +178,7 @@
 		}
 
 		isFinished = true;
+		watch?.stop();
 		onPrefillEnded(handleId, ATTEMPT_RESULTS.answered);
 	});
 
@@ -218,7 +225,7 @@
 					return;
 				}
 
-				if (framing === ANSWER_FRAMINGS.connection && attempt.isCloseDoubtful) {
+				if (framing === ANSWER_FRAMINGS.connection && isCloseDoubtful) {
 					finish(ATTEMPT_RESULTS.closed, 'the stream ended with its connection between events');
 					return;
 				}
@@ -316,13 +323,15 @@
 
 	/** Ends a response that ended with its connection. A target whose process has ended closes its connections as well. */
 	const endClosedResponse = async () => {
-		const isListening = await isTargetListening();
+		const signs = await watch!.findSigns();
 		if (isFinished) {
 			return;
 		}
 
-		closeSigns = {isListening, isLeaving: isTargetLeaving()};
-		if (isListening === false) {
+		closeSigns = {...signs, isLeaving: isTargetLeaving()};
+		const use = decideClosedAnswer(closeSigns, attempt);
+		isCloseDoubtful ||= use === CLOSED_ANSWER_USES.doubtful;
+		if (use === CLOSED_ANSWER_USES.broken) {
 			finish(ATTEMPT_RESULTS.unknown, 'the target ended with the connection of its response');
 		} else {
 			sink?.end();
@@ -354,6 +363,7 @@
 
 			onProgress();
 			framing = findFraming(status, headers);
+			watch = framing === ANSWER_FRAMINGS.connection ? watchTarget() : undefined;
 			receiveHead(status, headers, isFirstAnswer);
 		},
 		onResponseData(started, chunk) {
@@ -387,6 +397,7 @@
 	});
 	return () => {
 		isFinished = true;
+		watch?.stop();
 		forwarder.flush();
 		controller?.abort(new Error('the attempt was cancelled'));
 	};
