Leave half of the retry budget to calls without an answer, and count only retries that are sent

What callers saw: where streams end with their connection, each one that is asked for again spent a retry, so that calls whose target had failed found the budget used and were refused. Cause: a confirmation took from the same budget as a call that has no answer, and a retry was counted before it was known whether a target could take it. Change: confirmations use half of the budget at most; what was taken for an attempt that is not sent is given back.

--- a/packages/core/src/retries/__tests__/sharedRetryBudget.test.ts
+++ b/packages/core/src/retries/__tests__/sharedRetryBudget.test.ts
@@ -34,4 +34,20 @@
 	it('permits a retry before any request is recorded', () => {
 		assert.equal(createSharedRetryBudget(OPTIONS).take('service', 6, 0), true);
 	});
+
+	it('leaves a part of the budget to others that take from all of it, and counts no retry that is given back', () => {
+		const budget = createSharedRetryBudget(OPTIONS);
+		const takeAll = (share?: number) => {
+			let count = 0;
+			while (budget.take('service', 1, 0, share)) {
+				count += 1;
+			}
+
+			return count;
+		};
+
+		assert.deepEqual([takeAll(0.5), takeAll(), takeAll()], [14, 15, 0]);
+		budget.release('service', 2);
+		assert.equal(takeAll(), 2);
+	});
 });
--- a/packages/core/src/retries/sharedRetryBudget.ts
+++ b/packages/core/src/retries/sharedRetryBudget.ts
@@ -17,8 +17,10 @@
 export type SharedRetryBudget = {
 	/** Counts a request of a service. */
 	readonly recordRequest: (serviceId: string, nowMs: number) => void;
-	/** Takes one retry from the budget and returns whether one was left. `entryCount` entries share the allowance. */
-	readonly take: (serviceId: string, entryCount: number, nowMs: number) => boolean;
+	/** Takes one retry from the budget, or from a share of it, and returns whether one was left. `entryCount` entries share the allowance. */
+	readonly take: (serviceId: string, entryCount: number, nowMs: number, share?: number) => boolean;
+	/** Gives back the retries of a service that were taken last, and not sent. */
+	readonly release: (serviceId: string, count: number) => void;
 };
 
 /** Fraction of the permitted retries that an entry uses. Entries count requests at different moments, so their retries together could otherwise exceed the bound. */
@@ -49,14 +51,18 @@
 		recordRequest(serviceId, nowMs) {
 			getTimes(serviceId, nowMs).requests.push(nowMs);
 		},
-		take(serviceId, entryCount, nowMs) {
+		take(serviceId, entryCount, nowMs, share = 1) {
 			const {requests, retries} = getTimes(serviceId, nowMs);
-			if (retries.length + 1 > SAFETY_FACTOR * ((requests.length * retryRatio) + (allowance / Math.max(1, entryCount)))) {
+			if (retries.length + 1 > SAFETY_FACTOR * share * ((requests.length * retryRatio) + (allowance / Math.max(1, entryCount)))) {
 				return false;
 			}
 
 			retries.push(nowMs);
 			return true;
 		},
+		release(serviceId, count) {
+			const retries = timesByService.get(serviceId)?.retries ?? [];
+			retries.splice(Math.max(0, retries.length - count));
+		},
 	};
 }
--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -15,7 +15,7 @@
 import {hasEarlierEvents} from './streamContinuity.js';
 import {type ServingEffect} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
-import {findClosedEnd, isCloseDoubtful} from './streamEnds.js';
+import {CONFIRMATION_BUDGET_SHARE, findClosedEnd, isCloseDoubtful} from './streamEnds.js';
 
 /** Remaining time of a call below which no attempt is sent. */
 const MIN_REMAINING_MS = 20;
@@ -51,36 +51,61 @@
 }
 
 /**
- * Sends the next attempt of a call if one can be sent. Otherwise the call is as before.
+ * Sends the next attempt of a call if one can be sent. Otherwise the call has only lost the slot that it had reserved.
  *
  * @param state - changed in place
  * @param call - changed in place
  */
-export function sendNextAttempt(state: ServingState, call: ServingCall, {nowMs, handle}: NextAttemptOptions): NextAttempt {
+export function sendNextAttempt(state: ServingState, call: ServingCall, options: NextAttemptOptions): NextAttempt {
+	const retries: RetryCount = {taken: 0};
+	const next = placeNextAttempt(state, call, options, retries);
+	if (!next.isSent) {
+		releaseReservation(state, call);
+		state.retryBudget.release(call.serviceId, retries.taken);
+	}
+
+	return next;
+}
+
+/** Retries that a call has taken from the budget for its next attempt. */
+type RetryCount = {taken: number};
+
+function placeNextAttempt(state: ServingState, call: ServingCall, {nowMs, handle}: NextAttemptOptions, retries: RetryCount): NextAttempt {
 	releaseReservation(state, call);
-	const obstacle = findObstacle(state, call, {nowMs, handle});
-	if (obstacle !== undefined) {
-		return {isSent: false, code: obstacle, refusal: undefined};
+	// Before its first attempt, a call was checked at its arrival.
+	if (call.attempt !== undefined && state.poisonParts.isQuarantined(listSharedPartIds(call.request), nowMs)) {
+		return {isSent: false, code: ERROR_CODES.partQuarantined, refusal: undefined};
+	}
+
+	const isRetry = handle === undefined && (call.attemptCount > 0 || call.failedPrefillCount > 0);
+	if (call.timeoutAtMs - nowMs < MIN_REMAINING_MS || (isRetry && !mayRetry(state, call, nowMs, retries))) {
+		return {isSent: false, code: ERROR_CODES.noTarget, refusal: undefined};
 	}
 
 	const plan = handle === undefined ? planAttempt(state, call, nowMs) : planHandover(state, call, handle, nowMs);
-	// After an attempt to decode, another prefill and the decode that follows it are two retries.
-	const isSecondRetryNeeded = call.attemptCount > 0 && plan !== undefined && 'isPrefillOnly' in plan && plan.isPrefillOnly;
-	if (isSecondRetryNeeded && !mayRetry(state, call, nowMs)) {
-		releaseReservation(state, call);
+	if (plan === undefined) {
 		return {isSent: false, code: ERROR_CODES.noTarget, refusal: undefined};
 	}
 
-	if (plan === undefined || 'refusal' in plan) {
-		return {isSent: false, code: plan?.refusal ?? ERROR_CODES.noTarget, refusal: plan};
+	if ('refusal' in plan) {
+		return {isSent: false, code: plan.refusal, refusal: plan};
+	}
+
+	// After an attempt to decode, another prefill and the decode that follows it are two retries.
+	if (call.attemptCount > 0 && plan.isPrefillOnly && !mayRetry(state, call, nowMs, retries)) {
+		return {isSent: false, code: ERROR_CODES.noTarget, refusal: undefined};
 	}
 
 	const charge = takeRetryCharge(state, call, nowMs);
 	if (charge !== undefined) {
-		releaseReservation(state, call);
 		return {isSent: false, code: ERROR_CODES.allotmentUsed, refusal: charge};
 	}
 
+	return {isSent: true, effects: beginAttempt(state, call, plan, nowMs)};
+}
+
+/** Begins an attempt that is placed. Changes the call and its target in place. */
+function beginAttempt(state: ServingState, call: ServingCall, plan: AttemptPlan, nowMs: number): readonly ServingEffect[] {
 	state.lastAttemptId += 1;
 	advanceRequest(call, {type: 'attempt'});
 	// A disaggregated prefill and the decode that follows it count as one attempt.
@@ -105,19 +130,7 @@
 	addQueuedWork(plan.target, plan.queuedWork, 1);
 	recordPrefixUses(state, call, plan);
 	call.placementDetail ??= plan.detail;
-	return {isSent: true, effects: [createSend(state, call, plan, nowMs), createSendRecord(state, call, plan), {type: 'work.report'}]};
-}
-
-/** Finds what forbids a further attempt wherever it might be placed. If nothing does, takes it from the retry budget. */
-function findObstacle(state: ServingState, call: ServingCall, {nowMs, handle}: NextAttemptOptions): ErrorCode | undefined {
-	// Before its first attempt, a call was checked at its arrival.
-	if (call.attempt !== undefined && state.poisonParts.isQuarantined(listSharedPartIds(call.request), nowMs)) {
-		return ERROR_CODES.partQuarantined;
-	}
-
-	const remainingMs = call.timeoutAtMs - nowMs;
-	const isRetry = handle === undefined && (call.attemptCount > 0 || call.failedPrefillCount > 0);
-	return remainingMs < MIN_REMAINING_MS || (isRetry && !mayRetry(state, call, nowMs)) ? ERROR_CODES.noTarget : undefined;
+	return [createSend(state, call, plan, nowMs), createSendRecord(state, call, plan), {type: 'work.report'}];
 }
 
 /** Creates the effect that sends the attempt of a call that has just been planned. */
@@ -190,9 +203,11 @@
 }
 
 /** Returns whether the route and the retry budget allow another attempt. If so, takes one retry from the budget. */
-function mayRetry(state: ServingState, call: ServingCall, nowMs: number): boolean {
-	return call.attemptCount < call.route.attemptLimit
-		&& state.retryBudget.take(call.serviceId, countEntries(state, nowMs), nowMs);
+function mayRetry(state: ServingState, call: ServingCall, nowMs: number, retries: RetryCount): boolean {
+	const share = findClosedEnd(call) === undefined ? 1 : CONFIRMATION_BUDGET_SHARE;
+	const isTaken = call.attemptCount < call.route.attemptLimit && state.retryBudget.take(call.serviceId, countEntries(state, nowMs), nowMs, share);
+	retries.taken += isTaken ? 1 : 0;
+	return isTaken;
 }
 
 function countEntries(state: ServingState, nowMs: number): number {
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -244,7 +244,7 @@
 	closed(state, call, event) {
 		call.excludedTargetIds.add(call.attempt?.target.record.targetId ?? '');
 		advanceRequest(call, {type: 'failUnknown'});
-		beginConfirmation(call, event);
+		beginConfirmation(call, event, event.nowMs);
 		return [createAttemptRecord(call, 'closed', event), ...planNextAttempt(state, call, event)];
 	},
 	failed(state, call, event) {
--- a/packages/core/src/serving/streamEnds.ts
+++ b/packages/core/src/serving/streamEnds.ts
@@ -8,6 +8,9 @@
 import {computePatienceMs} from './computePatienceMs.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
+/** How an answer was framed, and the last event that its caller has. */
+type StreamEnd = {readonly framing?: AnswerFraming | undefined; readonly lastEventId?: string | undefined};
+
 /** The end of a stream that another target is asked to confirm. */
 export type ClosedEnd = {
 	readonly target: PlacedTarget;
@@ -25,6 +28,9 @@
 /** Part of the patience of callers for which the end of a stream may wait for its confirmation. They still receive an event that comes until then. */
 const CONFIRMATION_PATIENCE_SHARE = 0.5;
 
+/** Part of the retry budget that confirmations may use. The rest is left to calls that have no answer. */
+export const CONFIRMATION_BUDGET_SHARE = 0.5;
+
 /** Returns whether another target should be asked what is left when this one ends a stream by closing its connection. */
 export function isCloseDoubtful({servicesWithDelimitedStreams}: ServingState, {serviceId, route}: ServingCall, {streamEnds}: PlacedTarget): boolean {
 	const isUsual = streamEnds.delimited === 0 && streamEnds.closed >= MIN_CLOSED_STREAMS;
@@ -32,7 +38,7 @@
 }
 
 /** Records that the target of a call has ended a stream between events by closing its connection. */
-export function beginConfirmation(call: ServingCall, {nowMs, framing, lastEventId}: {readonly nowMs: number; readonly framing?: AnswerFraming | undefined; readonly lastEventId?: string | undefined}): void {
+export function beginConfirmation(call: ServingCall, {framing, lastEventId}: StreamEnd, nowMs: number): void {
 	call.closedEnd = {
 		target: call.attempt!.target,
 		framing,
@@ -55,7 +61,7 @@
 }
 
 /** Records how a stream ended that its caller has whole. */
-export function recordStreamEnd(state: ServingState, call: ServingCall, {framing, lastEventId}: {readonly framing?: AnswerFraming | undefined; readonly lastEventId?: string | undefined}): void {
+export function recordStreamEnd(state: ServingState, call: ServingCall, {framing, lastEventId}: StreamEnd): void {
 	const {closedEnd, attempt, serviceId} = call;
 	if (closedEnd !== undefined) {
 		closedEnd.target.streamEnds[closedEnd.lastEventId === lastEventId ? 'closed' : 'delimited'] += 1;
