Let a call wait for its target where it cannot go on elsewhere

What callers saw: a call whose target was slow was refused with 502, or cut off where it had part of its answer from another target, although the target would have answered. Cause: the attempt at a target that counts as silent was cancelled before it was known whether another target could take the call. Without a retry left, or without another target, the call was refused. Change: the attempt is cancelled only when the next one is sent; the entry tries again every 500 ms. A prompt that only waits to be prefilled is refused at once as before, as nothing has run of its call.

--- a/packages/core/src/serving/unresponsiveTargetHandlers.ts
+++ b/packages/core/src/serving/unresponsiveTargetHandlers.ts
@@ -7,10 +7,11 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {advanceRequest} from '../request/requestRecord.js';
 import {endAttempt} from './attemptWork.js';
-import {planNextAttempt} from './callAttempts.js';
+import {sendNextAttempt} from './callAttempts.js';
+import {endExhaustedCall} from './refuseCall.js';
 import {ATTEMPT_RESULTS, type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {ROUTE_KINDS} from './servingRecords.js';
-import {type ServingCall, type ServingState} from './servingState.js';
+import {type CallAttempt, type ServingCall, type ServingState} from './servingState.js';
 
 /** Interval at which the same attempt without a response counts as a further failure of its target. */
 const FAULT_INTERVAL_MS = 500;
@@ -63,18 +64,49 @@
 
 /**
  * Retries a call on another target if it may run more than once or if its attempt is prefill only.
- * Any other call keeps waiting, because a missing response does not prove that the target has not run it.
+ * Any other call keeps waiting, because a missing response does not prove that the target has not run it. So does a call
+ * that cannot go on elsewhere: its target may only be slow.
  */
 function retryElsewhere(state: ServingState, call: ServingCall, nowMs: number): readonly ServingEffect[] {
-	const {attempt, route, callId} = call;
+	const {attempt, route, snapshot, failedPrefillCount, excludedTargetIds, openCharge} = call;
 	const isRetryable = route.kind === ROUTE_KINDS.safe || route.isResumable;
 	if (attempt === undefined || !(isRetryable || attempt.isPrefillOnly) || call.attemptCount >= route.attemptLimit) {
 		return [];
 	}
 
-	endAttempt(state, call, {result: ATTEMPT_RESULTS.cancelled, nowMs});
+	const {targetId} = attempt.target.record;
+	const wasExcluded = excludedTargetIds.has(targetId);
 	call.failedPrefillCount += attempt.isPrefillOnly ? 1 : 0;
-	call.excludedTargetIds.add(attempt.target.record.targetId);
+	call.openCharge = attempt.isPrefillOnly ? openCharge : undefined;
+	excludedTargetIds.add(targetId);
 	advanceRequest(call, {type: attempt.isPrefillOnly ? 'failNotRun' : 'failUnknown'});
-	return [{type: 'attempt.cancel', callId, attemptId: attempt.attemptId}, ...planNextAttempt(state, call, {nowMs})];
+	const next = sendNextAttempt(state, call, {nowMs});
+	if (next.isSent) {
+		endReplacedAttempt(state, call, attempt, nowMs);
+		return [{type: 'attempt.cancel', callId: call.callId, attemptId: attempt.attemptId}, ...next.effects];
+	}
+
+	// Nothing has run of a call whose prompt is prefilled, so its caller is told at once.
+	if (attempt.isPrefillOnly && !call.isResponseStarted) {
+		endAttempt(state, call, {result: ATTEMPT_RESULTS.cancelled, nowMs});
+		return [{type: 'attempt.cancel', callId: call.callId, attemptId: attempt.attemptId}, ...endExhaustedCall(state, call, nowMs, next)];
+	}
+
+	call.snapshot = snapshot;
+	call.failedPrefillCount = failedPrefillCount;
+	call.openCharge = openCharge;
+	if (!wasExcluded) {
+		excludedTargetIds.delete(targetId);
+	}
+
+	return [];
+}
+
+/** Ends an attempt in whose place another one was sent. */
+function endReplacedAttempt(state: ServingState, call: ServingCall, replaced: CallAttempt, nowMs: number): void {
+	const {attempt, openCharge} = call;
+	call.attempt = replaced;
+	endAttempt(state, call, {result: ATTEMPT_RESULTS.cancelled, nowMs});
+	call.attempt = attempt;
+	call.openCharge = openCharge;
 }
