Clear a request of suspicion whose stream its target has ended

What callers saw: a request that is sent again and again under the same body was refused with 503 after three targets that were asked what is left of its stream had reset their connections. Cause: a reset counts against the request as a crash of its target until an attempt is answered, and a stream that its target had ended by closing the connection was not recorded as answered. Change: the end that counts without a confirmation clears the request and its parts as any other answer does.

--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -7,7 +7,7 @@
 } from './attemptWork.js';
 import {planNextAttempt, sendNextAttempt} from './callAttempts.js';
 import {takeCharge} from './callCharges.js';
-import {listSharedPartIds, reportPartDecisions, suspectCrash} from './crashHandlers.js';
+import {clearSuspicion, listSharedPartIds, suspectCrash} from './crashHandlers.js';
 import {
 	findStreamVersion, isResumption, recordStreamVersion, toStreamRequestId,
 } from './streamContinuity.js';
@@ -207,16 +207,13 @@
 /** Handlers of the end of an attempt, by its result. */
 const attemptEndHandlers: Readonly<Record<AttemptEnded['result'], AttemptEndHandler>> = {
 	answered(state, call, event) {
-		const {request, route} = call;
 		const {nowMs} = event;
-		if (route.kind === ROUTE_KINDS.stream) {
+		if (call.route.kind === ROUTE_KINDS.stream) {
 			recordStreamEnd(state, call, event);
 		}
 
-		state.poisonRequests.recordAnswer(request.fingerprint);
-		const decisions = state.poisonParts.recordAnswer(listSharedPartIds(request), nowMs);
 		advanceRequest(call, {type: 'finish'});
-		return [...reportPartDecisions(decisions, request.requestId), ...endCall(state, call, {nowMs, outcome: 'answered', answer: event})];
+		return [...clearSuspicion(state, call, nowMs), ...endCall(state, call, {nowMs, outcome: 'answered', answer: event})];
 	},
 	notRun(state, call, event) {
 		return retryNotRun(state, call, event);
--- a/packages/core/src/serving/crashHandlers.ts
+++ b/packages/core/src/serving/crashHandlers.ts
@@ -54,6 +54,12 @@
 	return prompt === undefined ? [] : listSharedParts(prompt.parts).map(({partId}) => partId);
 }
 
+/** Records that a call was answered whole, so that other requests must have caused the crashes of targets that ran it. */
+export function clearSuspicion({poisonRequests, poisonParts}: ServingState, {request}: ServingCall, nowMs: number): readonly ServingEffect[] {
+	poisonRequests.recordAnswer(request.fingerprint);
+	return reportPartDecisions(poisonParts.recordAnswer(listSharedPartIds(request), nowMs), request.requestId);
+}
+
 /**
  * Records that the target of a call's attempt may have crashed while it ran the call.
  *
--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -1,4 +1,5 @@
 import {endAttempt, releaseHandover, releaseReservation} from './attemptWork.js';
+import {clearSuspicion} from './crashHandlers.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 import {findClosedEnd, recordStreamEnd} from './streamEnds.js';
@@ -64,6 +65,7 @@
 	const answer = findClosedEnd(call)!;
 	recordStreamEnd(state, call, answer);
 	return [
+		...clearSuspicion(state, call, nowMs),
 		...endCall(state, call, {
 			nowMs, outcome: 'answered', answer, confirmation,
 		}),
