Say why bytes of a stream are not taken for its next event

When an attempt ended because its target sent something else than the next event, the log told the last event and not what followed.

--- a/packages/core/src/request/eventOrder.ts
+++ b/packages/core/src/request/eventOrder.ts
@@ -20,14 +20,15 @@
 }
 
 /**
- * Tells whether an event directly follows the last one that a caller has.
+ * Finds why an event does not directly follow the last one that a caller has.
  *
  * @param lastEventId - undefined or empty if the caller has none; any event follows one without a number, which only a caller can name
+ * @returns undefined if it does
  */
-export function isNextEvent(lastEventId: string | undefined, eventNumber: number): boolean {
+export function findOrderFault(lastEventId: string | undefined, eventNumber: number): string | undefined {
 	if (lastEventId === undefined || lastEventId === '') {
-		return eventNumber <= MAX_FIRST_ID;
+		return eventNumber <= MAX_FIRST_ID ? undefined : `number ${eventNumber} as the first`;
 	}
 
-	return !CALLER_NUMBER.test(lastEventId) || eventNumber === Number(lastEventId) + 1;
+	return !CALLER_NUMBER.test(lastEventId) || eventNumber === Number(lastEventId) + 1 ? undefined : `number ${eventNumber} after ${Number(lastEventId)}`;
 }
--- a/packages/daemon/src/direct/__tests__/createEventSplitter.test.ts
+++ b/packages/daemon/src/direct/__tests__/createEventSplitter.test.ts
@@ -34,10 +34,10 @@
 			const ends = [...new Set(cuts.map(cut => Math.min(cut, bytes.length)))].toSorted((a, b) => a - b);
 			let start = 0;
 			for (const end of [...ends, bytes.length]) {
-				const {completeEvents, isOutOfOrder} = splitter.push(bytes.subarray(start, end));
+				const {completeEvents, refusal} = splitter.push(bytes.subarray(start, end));
 				passed.push(completeEvents ?? Buffer.alloc(0));
 				start = end;
-				if (isOutOfOrder) {
+				if (refusal !== undefined) {
 					break;
 				}
 			}
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -1,13 +1,13 @@
 import {Buffer} from 'node:buffer';
-import {isNextEvent} from '@damaskspool/core';
+import {findOrderFault} from '@damaskspool/core';
 import {EVENT_END, parseEvent} from './parseEvent.js';
 
 /** What a chunk adds to a stream. */
 export type SplitResult = {
 	/** Unchanged bytes of the events that the chunk completes; undefined if it completes none. */
 	readonly completeEvents: Buffer | undefined;
-	/** Whether bytes follow that are not the next event of the stream. Nothing after them can be used. */
-	readonly isOutOfOrder: boolean;
+	/** Why the bytes that follow are not the next event of the stream, without their content; undefined if they may be. Nothing after them can be used. */
+	readonly refusal: string | undefined;
 };
 
 /** Splits a stream of chunks into complete server-sent events. */
@@ -71,15 +71,15 @@
 			const joined = joinChunk(chunk);
 			if (!joined.includes(EVENT_END, searchStart)) {
 				storeIncomplete(joined);
-				return {completeEvents: undefined, isOutOfOrder: false};
+				return {completeEvents: undefined, refusal: undefined};
 			}
 
 			let start = 0;
-			let isOutOfOrder = false;
+			let refusal: string | undefined;
 			for (let end = joined.indexOf(EVENT_END, searchStart); end !== -1; end = joined.indexOf(EVENT_END, start)) {
 				const event = parseEvent(joined.subarray(start, end + EVENT_END.length), extraFields);
-				if (event === undefined || !isNextEvent(lastEventId, event.number)) {
-					isOutOfOrder = true;
+				refusal = typeof event === 'string' ? event : findOrderFault(lastEventId, event.number);
+				if (typeof event === 'string' || refusal !== undefined) {
 					break;
 				}
 
@@ -89,7 +89,7 @@
 
 			length = 0;
 			storeIncomplete(joined.subarray(start));
-			return {completeEvents: start === 0 ? undefined : joined.subarray(0, start), isOutOfOrder};
+			return {completeEvents: start === 0 ? undefined : joined.subarray(0, start), refusal};
 		},
 		getLastEventId: () => lastEventId,
 		countIncompleteBytes: () => length,
--- a/packages/daemon/src/direct/parseEvent.ts
+++ b/packages/daemon/src/direct/parseEvent.ts
@@ -16,28 +16,40 @@
  *
  * @param bytes - the event with its closing blank line
  * @param extraFields - names of fields that targets may send in addition to the standard ones
- * @returns undefined for bytes that are no such event: unknown fields, malformed text, no data, or not exactly one number
+ * @returns why the bytes are no such event, without their content, if they are none
  */
-export function parseEvent(bytes: Buffer, extraFields: ReadonlySet<string>): NumberedEvent | undefined {
-	const text = isUtf8(bytes) ? bytes.toString('utf8') : '';
+export function parseEvent(bytes: Buffer, extraFields: ReadonlySet<string>): NumberedEvent | string {
+	if (!isUtf8(bytes)) {
+		return 'bytes that are not UTF-8';
+	}
+
+	const text = bytes.toString('utf8');
 	if (CONTROL_CHARACTER.test(text)) {
-		return undefined;
+		return 'a control character';
 	}
 
 	let id: string | undefined;
 	let hasData = false;
 	for (const line of text.slice(0, -EVENT_END.length).split('\n')) {
 		const [name, value] = splitLine(line);
-		if (!(STANDARD_FIELDS.has(name) || extraFields.has(name)) || (name === 'id' && id !== undefined)) {
-			return undefined;
+		if (!(STANDARD_FIELDS.has(name) || extraFields.has(name))) {
+			return 'a line that is no known field';
+		}
+
+		if (name === 'id' && id !== undefined) {
+			return 'an event with two identifiers';
 		}
 
 		id = name === 'id' ? value : id;
 		hasData ||= name === 'data';
 	}
 
-	const number = id === undefined || !hasData ? undefined : parseEventNumber(id);
-	return number === undefined ? undefined : {id: id!, number};
+	if (id === undefined || !hasData) {
+		return id === undefined ? 'an event without an identifier' : 'an event without data';
+	}
+
+	const number = parseEventNumber(id);
+	return number === undefined ? 'an event whose identifier is no number' : {id, number};
 }
 
 function splitLine(line: string): readonly [name: string, value: string] {
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -185,7 +185,7 @@
 		const splitter = createEventSplitter({lastEventId: handle.lastEventId, extraFields: ports.extraEventFields});
 		return {
 			write(chunk) {
-				const {completeEvents, isOutOfOrder} = splitter.push(chunk);
+				const {completeEvents, refusal} = splitter.push(chunk);
 				if (completeEvents !== undefined) {
 					begin();
 					writeHead(status, head, {form: SENT_FORMS.events});
@@ -193,8 +193,8 @@
 					forwarder.push(completeEvents);
 				}
 
-				if (isOutOfOrder) {
-					fail(`the stream goes on with something else than its next event (after ${handle.lastEventId ?? 'none'})`);
+				if (refusal !== undefined) {
+					fail(`the stream goes on with something else than its next event: ${refusal}`);
 				} else if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
 					fail('an event of the stream is longer than any event');
 				}
