Take streams whose lines end in CR LF or CR

Callers of targets that end the lines of events in CR LF got 502, or a stream that ended before its first event: an event was closed by two line feeds only, so that none was found until the end of the body. The specification of server-sent events has LF, CR LF and CR. The first line break of an answer now tells which one its lines end in, and events are forwarded unchanged. A line break of another kind behind it is refused as soon as it is read, also within an event that is not complete: joined bytes of two answers differ in this way.

The property test has all line ends, and compares bytes that come at once, in pieces and one by one: forwarded bytes and reason are the same.

--- a/packages/daemon/src/direct/__tests__/createEventSplitter.test.ts
+++ b/packages/daemon/src/direct/__tests__/createEventSplitter.test.ts
@@ -17,32 +17,45 @@
 const loadArbitrary = fc.record({
 	lastId: fc.nat(50),
 	texts: fc.array(fc.array(lineArbitrary, {minLength: 1, maxLength: 2}), {maxLength: 6}),
+	lineEnd: fc.constantFrom('\n', '\r\n', '\r'),
 	/** Bytes of a fault, and where they are put into the stream. */
 	fault: fc.record({bytes: fc.uint8Array({maxLength: 12}), isBlankLineAdded: fc.boolean(), atShare: fc.double({min: 0, max: 1, noNaN: true})}),
 	cuts: fc.array(fc.nat(400), {maxLength: 8}),
 });
 
+/** Splits bytes that come in pieces with these ends. */
+function splitBytes(bytes: Buffer, {lastId, ends}: {lastId: number; ends: readonly number[]}) {
+	const splitter = createEventSplitter({lastEventId: String(lastId), extraFields: EXTRA_FIELDS});
+	const passed: Buffer[] = [];
+	let start = 0;
+	for (const end of [...ends, bytes.length]) {
+		const {completeEvents, refusal} = splitter.push(bytes.subarray(start, end));
+		passed.push(Buffer.from(completeEvents ?? ''));
+		start = end;
+		if (refusal !== undefined) {
+			return {passed: Buffer.concat(passed).toString('utf8'), refusal};
+		}
+	}
+
+	return {passed: Buffer.concat(passed).toString('utf8'), refusal: undefined};
+}
+
 describe('the splitter of events', () => {
-	it('passes the sound events before a fault, and stops there', () => {
-		fc.assert(fc.property(loadArbitrary, ({lastId, texts, fault, cuts}) => {
-			const events = createEvents(lastId, texts);
+	it('passes the sound events before a fault, and stops there, wherever the bytes are cut', () => {
+		fc.assert(fc.property(loadArbitrary, ({
+			lastId, texts, lineEnd, fault, cuts,
+		}) => {
+			const events = createEvents(lastId, texts).map(event => event.replaceAll('\n', lineEnd));
 			const sound = Buffer.from(events.join(''));
 			const at = Math.round(fault.atShare * sound.length);
-			const bytes = Buffer.concat([sound.subarray(0, at), fault.bytes, Buffer.from(fault.isBlankLineAdded ? '\n\n' : ''), sound.subarray(at)]);
-			const splitter = createEventSplitter({lastEventId: String(lastId), extraFields: EXTRA_FIELDS});
-			const passed: Buffer[] = [];
+			const bytes = Buffer.concat([sound.subarray(0, at), fault.bytes, Buffer.from(fault.isBlankLineAdded ? lineEnd.repeat(2) : ''), sound.subarray(at)]);
 			const ends = [...new Set(cuts.map(cut => Math.min(cut, bytes.length)))].toSorted((a, b) => a - b);
-			let start = 0;
-			for (const end of [...ends, bytes.length]) {
-				const {completeEvents, refusal} = splitter.push(bytes.subarray(start, end));
-				passed.push(completeEvents ?? Buffer.alloc(0));
-				start = end;
-				if (refusal !== undefined) {
-					break;
-				}
+			const split = splitBytes(bytes, {lastId, ends});
+			for (const otherEnds of [[], [...bytes.keys()]]) {
+				assert.deepEqual(splitBytes(bytes, {lastId, ends: otherEnds}), split);
 			}
 
-			const numbers = [...Buffer.concat(passed).toString('utf8').matchAll(/^id: ?(?<id>.*)$/gmv)].map(({groups}) => Number(groups!.id));
+			const numbers = [...split.passed.matchAll(/^id: ?(?<id>.*)$/gmv)].map(({groups}) => Number(groups!.id));
 			assert.deepEqual(numbers, numbers.map((_number, index) => lastId + index + 1));
 			// Events that end before the fault are sound, whatever follows.
 			const soundCount = events.filter((_event, index) => Buffer.byteLength(events.slice(0, index + 1).join('')) <= at).length;
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {findOrderFault} from '@damaskspool/core';
-import {EVENT_END, parseEvent} from './parseEvent.js';
+import {findLineEnd, type LineEnd} from './lineEnds.js';
+import {MIXED_LINE_ENDS, parseEvent} from './parseEvent.js';
 
 /** What a chunk adds to a stream. */
 export type SplitResult = {
@@ -37,6 +38,7 @@
 	let buffer: Buffer = Buffer.alloc(0);
 	let length = 0;
 	let lastEventId = firstEventId;
+	let lineEnd: LineEnd | undefined;
 
 	/** Returns the bytes of the incomplete event followed by those of a chunk. */
 	const joinChunk = (chunk: Buffer): Buffer => {
@@ -66,28 +68,41 @@
 
 	return {
 		push(chunk) {
-			// What came before holds no end of an event, but may hold the first byte of one.
-			const searchStart = Math.max(0, length - (EVENT_END.length - 1));
+			// What came before holds no end of an event, but may hold all of one but its last byte.
+			const joinedFrom = length;
 			const joined = joinChunk(chunk);
-			if (!joined.includes(EVENT_END, searchStart)) {
+			lineEnd ??= findLineEnd(joined, Math.max(0, joinedFrom - 1));
+			if (lineEnd === undefined) {
 				storeIncomplete(joined);
 				return {completeEvents: undefined, refusal: undefined};
 			}
 
+			const eventEnd = lineEnd.end.repeat(2);
 			let start = 0;
 			let refusal: string | undefined;
-			for (let end = joined.indexOf(EVENT_END, searchStart); end !== -1; end = joined.indexOf(EVENT_END, start)) {
-				const event = parseEvent(joined.subarray(start, end + EVENT_END.length), extraFields);
+			let searchStart = Math.max(0, joinedFrom - eventEnd.length);
+			for (let at = joined.indexOf(eventEnd, searchStart); at !== -1; at = joined.indexOf(eventEnd, start)) {
+				const end = at + eventEnd.length;
+				const event = parseEvent(joined.subarray(start, end), {lineEnd, extraFields});
 				refusal = typeof event === 'string' ? event : findOrderFault(lastEventId, event.number);
 				if (typeof event === 'string' || refusal !== undefined) {
 					break;
 				}
 
 				lastEventId = event.id;
-				start = end + EVENT_END.length;
+				start = end;
+				searchStart = end;
+			}
+
+			// The rest need not wait for the end of an event that never comes.
+			if (refusal === undefined && lineEnd.foreign.test(joined.toString('latin1', searchStart))) {
+				refusal = MIXED_LINE_ENDS;
+			}
+
+			if (start > 0) {
+				length = 0;
 			}
 
-			length = 0;
 			storeIncomplete(joined.subarray(start));
 			return {completeEvents: start === 0 ? undefined : joined.subarray(0, start), refusal};
 		},
