Forward comments, line breaks and fields that give no event

Callers of sound targets got 502 when a stream began with a comment, and a stream that was cut off when a comment, a blank line or an event without identifier and data stood between or behind events. One more line break or a comment line at the end of a body counted as an end within an event. By the specification of server-sent events such lines give no event. The check took each run of lines up to a blank line for an event.

Lines that give no event are now forwarded unchanged with the events around them. Before the first event they are held, so that the request can still go to another target, and a further attempt sends its own. At the end of a body, whole comment lines are part of the stream, while a type without a blank line is still an event that was cut off. Data without an identifier, an identifier without data and a field of the deployment alone are refused as before.

--- a/packages/daemon/src/direct/parseEvent.ts
+++ b/packages/daemon/src/direct/parseEvent.ts
@@ -2,8 +2,21 @@
 import {parseEventNumber} from '@damaskspool/core';
 import {type LineEnd} from './lineEnds.js';
 
-/** Identifier of an event, as it is written and as a number. */
-export type NumberedEvent = {readonly id: string; readonly number: number};
+/** What the lines up to a blank line are. */
+export const BLOCK_KINDS = {
+	/** An event with a number. */
+	event: 'event',
+	/** Lines that give no event by the specification, such as comments. */
+	silent: 'silent',
+	refused: 'refused',
+} as const;
+
+/** Lines of a stream up to a blank line. An event has its identifier as it is written and as a number. */
+export type EventBlock
+	= | {readonly kind: typeof BLOCK_KINDS.event; readonly id: string; readonly number: number}
+		| {readonly kind: typeof BLOCK_KINDS.silent; readonly hasFields: boolean}
+		/** Why the lines can be no part of the stream, without their content. */
+		| {readonly kind: typeof BLOCK_KINDS.refused; readonly refusal: string};
 
 /** Options of {@link parseEvent}. */
 export type ParseEventOptions = {
@@ -14,56 +27,65 @@
 
 /** What is told of a stream whose lines do not all end in the same way. */
 export const MIXED_LINE_ENDS = 'a line break of another kind than before';
-/** Fields of the specification of server-sent events. */
-const STANDARD_FIELDS: ReadonlySet<string> = new Set(['id', 'data', 'event', 'retry']);
+/** Fields of the specification of server-sent events that give no event without others. */
+const SILENT_FIELDS: ReadonlySet<string> = new Set(['event', 'retry']);
+/** Fields that make an event. */
+const EVENT_FIELDS: ReadonlySet<string> = new Set(['id', 'data']);
 /** Control characters of ASCII other than a tab and a line break. */
 const CONTROL_CHARACTER = /[\p{Cc}--[\t\n\r\u0080-\u009F]]/v;
 
 /**
- * Parses an event of a numbered stream.
+ * Parses lines of a numbered stream.
  *
- * @param bytes - the event with its closing blank line
- * @returns why the bytes are no such event, without their content, if they are none
+ * @param bytes - whole lines, with the blank line that closes them or without it
  */
-export function parseEvent(bytes: Buffer, {lineEnd, extraFields}: ParseEventOptions): NumberedEvent | string {
+export function parseEvent(bytes: Buffer, {lineEnd, extraFields}: ParseEventOptions): EventBlock {
 	const text = bytes.toString('utf8');
 	if (lineEnd.foreign.test(text)) {
-		return MIXED_LINE_ENDS;
+		return refuseBlock(MIXED_LINE_ENDS);
 	}
 
 	if (!isUtf8(bytes)) {
-		return 'bytes that are not UTF-8';
+		return refuseBlock('bytes that are not UTF-8');
 	}
 
 	if (CONTROL_CHARACTER.test(text)) {
-		return 'a control character';
+		return refuseBlock('a control character');
+	}
+
+	const fields = text.split(lineEnd.end).filter(line => line !== '' && !line.startsWith(':')).map(line => splitLine(line));
+	if (!fields.every(([name]) => EVENT_FIELDS.has(name) || SILENT_FIELDS.has(name) || extraFields.has(name))) {
+		return refuseBlock('a line that is no known field');
+	}
+
+	if (fields.every(([name]) => SILENT_FIELDS.has(name))) {
+		return {kind: BLOCK_KINDS.silent, hasFields: fields.length > 0};
 	}
 
-	let id: string | undefined;
-	let hasData = false;
-	for (const line of text.slice(0, -2 * lineEnd.end.length).split(lineEnd.end)) {
-		const [name, value] = splitLine(line);
-		if (!(STANDARD_FIELDS.has(name) || extraFields.has(name))) {
-			return 'a line that is no known field';
-		}
+	return parseFields(fields);
+}
 
-		if (name === 'id' && id !== undefined) {
-			return 'an event with two identifiers';
-		}
+type Field = readonly [name: string, value: string];
 
-		id = name === 'id' ? value : id;
-		hasData ||= name === 'data';
+function parseFields(fields: readonly Field[]): EventBlock {
+	const [id, ...furtherIds] = fields.filter(([name]) => name === 'id').map(([, value]) => value);
+	if (id === undefined || furtherIds.length > 0) {
+		return refuseBlock(id === undefined ? 'an event without an identifier' : 'an event with two identifiers');
 	}
 
-	if (id === undefined || !hasData) {
-		return id === undefined ? 'an event without an identifier' : 'an event without data';
+	if (!fields.some(([name]) => name === 'data')) {
+		return refuseBlock('an event without data');
 	}
 
 	const number = parseEventNumber(id);
-	return number === undefined ? 'an event whose identifier is no number' : {id, number};
+	return number === undefined ? refuseBlock('an event whose identifier is no number') : {kind: BLOCK_KINDS.event, id, number};
+}
+
+function refuseBlock(refusal: string): EventBlock {
+	return {kind: BLOCK_KINDS.refused, refusal};
 }
 
-function splitLine(line: string): readonly [name: string, value: string] {
+function splitLine(line: string): Field {
 	const colon = line.indexOf(':');
 	return colon === -1 ? ['', ''] : [line.slice(0, colon), line.slice(colon + 1).replace(/^ /v, '')];
 }
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -200,7 +200,8 @@
 				}
 			},
 			end() {
-				if (splitter.countIncompleteBytes() > 0) {
+				const {isWithinEvent, rest} = splitter.finish();
+				if (isWithinEvent) {
 					finish(ATTEMPT_RESULTS.unknown, 'the stream ended within an event');
 					return;
 				}
@@ -210,13 +211,17 @@
 					return;
 				}
 
+				begin();
+				writeHead(status, head, {form: SENT_FORMS.events});
+				if (rest !== undefined) {
+					forwarder.push(rest);
+				}
+
 				if (framing === ANSWER_FRAMINGS.connection && attempt.isCloseDoubtful) {
 					finish(ATTEMPT_RESULTS.closed, 'the stream ended with its connection between events');
 					return;
 				}
 
-				begin();
-				writeHead(status, head, {form: SENT_FORMS.events});
 				forwarder.flush();
 				response.end();
 				finish(ATTEMPT_RESULTS.answered, `status ${status}`);
