State why an entry cuts an answer, and name requests that get none

`answer.cut` told who closed a connection and not why, so a cut behind a refused further attempt, a limit, or a doubt of the parser looked the same. Each place that closes a connection with a request on it now records its reason first; the line and the metric bear it, with the code of the refusal or of the parser. `request.unanswered` names a request that was read and not passed on since its connection had closed meanwhile, with the state of the connection.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -10,9 +10,10 @@
 import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
+import {CLOSE_REASONS, destroyConnection} from './closeReasons.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallerThrottle} from './createCallerThrottle.js';
-import {type ConnectionTracker} from './createConnectionTracker.js';
+import {type ConnectionTracker, REQUEST_STAGES, type RequestStage} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type HeldRequest} from './createRequestReader.js';
 import {writeRefusal, writeUnparsedRefusal} from './writeRefusal.js';
@@ -32,12 +33,27 @@
 	readonly onOverloaded: (requestId: string, lagMs: number) => void;
 	/** Called with a request that is refused before its body is read, because memory is short. */
 	readonly onBodyRefused: (requestId: string, bodyBytes: number) => void;
+	/** Called with a request that gets no answer because its connection is not open any more. */
+	readonly onUnanswered: (request: UnansweredRequest) => void;
 	/** Called with a request that is refused before it is parsed, because its head waited too long for its turn. */
 	readonly onHeadRefused: (held: HeldRequest) => void;
 	/** Called if the caller disconnects before the response is complete. */
 	readonly onDisconnected: (callId: number) => void;
 };
 
+/** A request without an answer, and the state of its connection. */
+export type UnansweredRequest = {
+	readonly requestId: string;
+	readonly stage: RequestStage;
+	/** Whether the whole request was read. */
+	readonly isWhole: boolean;
+	readonly isAnswerDestroyed: boolean;
+	readonly isDestroyed: boolean;
+	/** Whether the caller has ended its sending side. */
+	readonly isEndedByCaller: boolean;
+	readonly isWritable: boolean;
+};
+
 /** Head that the HTTP parser takes. More than any limit that a configuration sets, which holds before the parser reads a head. */
 const MAX_PARSED_HEADER_BYTES = 16_777_216;
 /** Event loop lag above which new requests are refused. Such a lag uses up most of the latency objective of a short prompt. */
@@ -84,7 +100,7 @@
  * @returns the server, not listening yet
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onHeadRefused, onDisconnected} = options;
+	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onUnanswered, onHeadRefused, onDisconnected} = options;
 	const findMaxHeadBytes = () => findLimits()?.headerBytes ?? INITIAL_LIMITS.headerBytes;
 	const throttle = createCallerThrottle({
 		readGovernor,
@@ -102,7 +118,7 @@
 	const rejectRequest = (socket: Socket, code: string | undefined) => {
 		const end = () => {
 			if (!socket.writable || connections.countOpen(socket) > 0) {
-				socket.destroy();
+				destroyConnection(socket, {reason: CLOSE_REASONS.rejected, code});
 				return;
 			}
 
@@ -127,12 +143,25 @@
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
 		const {socket} = incoming;
 		const reader = throttle.findReader(socket);
+		const request = ports.parseCallerRequest(incoming);
+		const reportUnanswered = (stage: RequestStage) => {
+			onUnanswered({
+				requestId: request.call.requestId,
+				stage,
+				isWhole: incoming.complete,
+				isAnswerDestroyed: response.destroyed,
+				isDestroyed: socket.destroyed,
+				isEndedByCaller: socket.readableEnded,
+				isWritable: socket.writable,
+			});
+		};
+
 		if (reader === undefined) {
+			reportUnanswered(REQUEST_STAGES.reading);
 			response.destroy();
 			return;
 		}
 
-		const request = ports.parseCallerRequest(incoming);
 		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
 		const isChunked = incoming.headers['transfer-encoding'] !== undefined;
 		connections.recordRequest(response, socket, request.call.requestId);
@@ -207,6 +236,7 @@
 			const call = {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)};
 			waitForPendingDisconnects(lagMs => {
 				if (response.destroyed || socket.destroyed || socket.readableEnded) {
+					reportUnanswered(REQUEST_STAGES.waiting);
 					return;
 				}
 
@@ -217,7 +247,9 @@
 				}
 
 				arrivalMonitor.schedule(() => {
-					if (!response.destroyed) {
+					if (response.destroyed) {
+						reportUnanswered(REQUEST_STAGES.waiting);
+					} else {
 						const nowMs = performance.now();
 						connections.recordCall(response);
 						onCall(handle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
@@ -245,7 +277,7 @@
 	const unproductiveTimer = setInterval(() => {
 		for (const socket of connections.listUnproductive((2 * findMaxHeadBytes()) + MAX_LEADING_BYTES)) {
 			throttle.runInTurn(socket, () => {
-				socket.destroy();
+				destroyConnection(socket, {reason: CLOSE_REASONS.rejected});
 			});
 		}
 	}, UNPRODUCTIVE_CHECK_INTERVAL_MS);
--- a/packages/daemon/src/direct/createConnectionLimiter.ts
+++ b/packages/daemon/src/direct/createConnectionLimiter.ts
@@ -3,6 +3,7 @@
 import {
 	type CallerConnection, chooseClosed, chooseFreed, computeConnectionsHeld, computeMaxConnections, CONNECTION_STAGES, type ConnectionStage, type HeldCallerConnection,
 } from '@damaskspool/core';
+import {CLOSE_REASONS, destroyConnection} from './closeReasons.js';
 import {type ConnectionTracker, type OpenConnection} from './createConnectionTracker.js';
 
 /** Keeps the connections of callers within the descriptors and the memory of the instance. */
@@ -102,7 +103,7 @@
 		limited[stage] += 1;
 		closing.set(socket, performance.now());
 		if (stage !== CONNECTION_STAGES.body) {
-			socket.destroy();
+			destroyConnection(socket, {reason: CLOSE_REASONS.connectionLimit, code: stage});
 			return;
 		}
 
@@ -129,7 +130,7 @@
 		const nowMs = performance.now();
 		for (const [socket, sinceMs] of closing) {
 			if (nowMs - sinceMs >= MAX_CLOSING_MS) {
-				socket.destroy();
+				destroyConnection(socket, {reason: CLOSE_REASONS.connectionLimit});
 			}
 		}
 
@@ -150,7 +151,7 @@
 	const closeExcess = (maxClosing: number) => {
 		const waiting = [...closing.keys()].filter(socket => !socket.destroyed);
 		for (const socket of waiting.slice(0, Math.max(0, waiting.length - maxClosing))) {
-			socket.destroy();
+			destroyConnection(socket, {reason: CLOSE_REASONS.connectionLimit});
 		}
 	};
 
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,6 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {CONNECTION_STAGES, type ConnectionStage} from '@damaskspool/core';
+import {type CloseCause, type CloseReason, findCloseCause} from './closeReasons.js';
 import {createLingeringClose, type LingeringClose} from './createLingeringClose.js';
 import {type RequestReader} from './createRequestReader.js';
 
@@ -63,8 +64,13 @@
 	readonly stage: RequestStage;
 	/** `caller` if the caller ended or reset its side, `entry` otherwise. */
 	readonly closedBy: 'caller' | 'entry';
+	/** Why the entry closed the connection, and the code of the refusal or of the parser's error; undefined if the caller closed it. */
+	readonly reason: CloseReason | undefined;
+	readonly reasonCode: string | undefined;
 	/** Code of the error of the connection, if there was one. */
 	readonly errorCode: string | undefined;
+	/** Whether the whole request was read. */
+	readonly isWhole: boolean;
 	readonly isHeadSent: boolean;
 	/** Bytes of the answer that the operating system took, and those that it did not. */
 	readonly sentBytes: number;
@@ -91,6 +97,7 @@
 };
 type TrackedRequest = {stage: RequestStage};
 
+const NO_CAUSE: Partial<CloseCause> = {};
 /** Codes of errors that a caller causes by closing its connection. */
 const CALLER_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -160,11 +167,16 @@
 				if (response.writableFinished) {
 					connection.lingeringClose.recordAnswer();
 				} else {
+					const isClosedByCaller = connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '');
+					const {reason, code} = isClosedByCaller ? NO_CAUSE : findCloseCause(socket);
 					onCut({
 						requestId,
 						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
-						closedBy: connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '') ? 'caller' : 'entry',
+						closedBy: isClosedByCaller ? 'caller' : 'entry',
+						reason,
+						reasonCode: code,
 						errorCode: connection.errorCode,
+						isWhole: response.req.complete,
 						isHeadSent: response.headersSent,
 						sentBytes: socket.bytesWritten - socket.writableLength - sentBefore,
 						unsentBytes: socket.writableLength,
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -9,6 +9,7 @@
 } from '@damaskspool/runtime';
 import {ERROR_CODES} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
+import {CLOSE_REASONS, recordCloseCause} from './closeReasons.js';
 import {createArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer, refuseUnread} from './createCallerServer.js';
@@ -95,7 +96,7 @@
 	const pools = createTargetPools({readGovernor});
 	const connections = createConnectionTracker({
 		onCut({requestId, ...cut}) {
-			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"}`);
+			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"${cut.reason === undefined ? '' : `,reason="${cut.reason}"`}}`);
 			logger.info('answer.cut', {subject: requestId, ...cut, isStopping: state.isStopping});
 		},
 	});
@@ -129,6 +130,10 @@
 			if (isReading) {
 				refuseUnread(response, ports);
 			} else {
+				if (response.socket !== null) {
+					recordCloseCause(response.socket, {reason: CLOSE_REASONS.memory});
+				}
+
 				response.destroy();
 			}
 		},
@@ -277,6 +282,10 @@
 				subject: requestId, code: ERROR_CODES.overloaded, bodyBytes, heldBytes: memoryLedger.measure(),
 			});
 		},
+		onUnanswered({requestId, ...connection}) {
+			metrics.count(`requests_unanswered{stage="${connection.stage}"}`);
+			logger.info('request.unanswered', {subject: requestId, ...connection});
+		},
 		onHeadRefused({heldBytes, heldSinceMs}) {
 			metrics.count(`refusals{code="${ERROR_CODES.overloaded}"}`);
 			logger.warn('head.refused', {heldBytes, waitedMs: Math.round(performance.now() - heldSinceMs)});
--- a/packages/daemon/src/direct/createRequestReader.ts
+++ b/packages/daemon/src/direct/createRequestReader.ts
@@ -5,6 +5,7 @@
 	CHUNK_PARTS, type ChunkDecoder, type ChunkPart, createChunkDecoder, createHeadScan, decodeChunks, estimateHeadMs, hasHeadBegun, isHeadCostly, isHeadTooLong, scanHead,
 } from '@damaskspool/core';
 import {createByteCollector} from '@damaskspool/runtime';
+import {CLOSE_REASONS, destroyConnection} from './closeReasons.js';
 
 /** What a connection has sent of a request that the HTTP server does not know yet. */
 export type HeldRequest = {
@@ -131,7 +132,7 @@
 	const checkEnd = (isEnd: boolean) => {
 		if (incoming !== undefined && incoming.complete !== isEnd && !socket.destroyed) {
 			discard();
-			socket.destroy();
+			destroyConnection(socket, {reason: CLOSE_REASONS.otherEnd});
 		}
 	};
 
--- a/packages/daemon/src/direct/drainCallers.ts
+++ b/packages/daemon/src/direct/drainCallers.ts
@@ -1,6 +1,7 @@
 import {type Server} from 'node:http';
 import {Server as NetServer} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
+import {CLOSE_REASONS, recordCloseCause} from './closeReasons.js';
 import {type ConnectionTracker} from './createConnectionTracker.js';
 
 /** Interval between checks for requests in progress. */
@@ -36,6 +37,10 @@
 
 	await waitWhile(() => connections.countRequests() + connections.countLingering() > 0, endsAtMs + FLUSH_MS, connections.closeIdle);
 	onClosing();
+	for (const socket of connections.listSockets()) {
+		recordCloseCause(socket, {reason: CLOSE_REASONS.stopping});
+	}
+
 	server.closeAllConnections();
 	await closed;
 }
--- a/packages/daemon/src/direct/writeRefusal.ts
+++ b/packages/daemon/src/direct/writeRefusal.ts
@@ -2,7 +2,10 @@
 import {type ServerResponse, STATUS_CODES} from 'node:http';
 import {type Socket} from 'node:net';
 import {type DeploymentPorts} from '@damaskspool/runtime';
-import {ERROR_DESCRIPTIONS, type Failure} from '@damaskspool/shared';
+import {
+	ERROR_CODES, ERROR_DESCRIPTIONS, type ErrorCode, type Failure,
+} from '@damaskspool/shared';
+import {CLOSE_REASONS, type CloseReason, recordCloseCause} from './closeReasons.js';
 
 /** Options of {@link writeRefusal}. */
 export type RefusalOptions = {
@@ -11,6 +14,12 @@
 	readonly failure: Failure;
 };
 
+/** Reasons of cuts by the code of the refusal that cannot be sent any more; `refused` for all others. */
+const CUT_REASONS: Readonly<Partial<Record<ErrorCode, CloseReason>>> = {
+	[ERROR_CODES.deadlineExceeded]: CLOSE_REASONS.expired,
+	[ERROR_CODES.stopped]: CLOSE_REASONS.graceEnded,
+};
+
 /**
  * Ends a call with an error response of the entry. If part of a response was already
  * forwarded, the connection is destroyed, so that the caller does not treat that
@@ -18,6 +27,10 @@
  */
 export function writeRefusal({response, ports, failure}: RefusalOptions): void {
 	if (response.headersSent || response.destroyed) {
+		if (response.socket !== null) {
+			recordCloseCause(response.socket, {reason: CUT_REASONS[failure.code] ?? CLOSE_REASONS.refused, code: failure.code});
+		}
+
 		response.destroy();
 		return;
 	}
