Answer callers that end their sending side before the head of an answer

Callers that ended their sending side behind a whole request and still read got a closed connection without an answer, whether a target had run the request or not.

Cause: the HTTP server ends its own side as soon as the caller ends its one, so nothing can be sent afterwards, and a caller that has closed looks the same.

The call still ends and its target stops at that moment. Before the HTTP server closes, the entry now writes 503 (never sent to a target) or 502 (sent): both are true for either kind of caller, and one that has closed does not read them. A request whose head waits to be parsed gets 503 as well.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -8,7 +8,9 @@
 	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
 } from '@damaskspool/core';
 import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
-import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
+import {
+	createFailure, ERROR_CODES, type Failure, OUTCOMES,
+} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {CLOSE_REASONS, destroyConnection} from './closeReasons.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
@@ -16,6 +18,7 @@
 import {type ConnectionTracker, REQUEST_STAGES, type RequestStage} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type HeldRequest} from './createRequestReader.js';
+import {trackCallerEnd, waitForPendingDisconnects} from './trackCallerEnd.js';
 import {writeRefusal, writeUnparsedRefusal} from './writeRefusal.js';
 
 /** Options of {@link createCallerServer}. */
@@ -60,6 +63,8 @@
 const MAX_EVENT_LOOP_LAG_MS = 150;
 /** Retry delay sent with such a refusal. A freshly started process has caught up by then. */
 const OVERLOAD_RETRY_AFTER_MS = 600;
+/** Retry delay sent to a caller that ended its sending side before its request was passed on. */
+const ABANDONED_RETRY_AFTER_MS = 10;
 /** Characters of a fingerprint: 72 bits, so that no two requests of a day collide. */
 const FINGERPRINT_LENGTH = 12;
 /** Interval between checks for connections that exceed the header timeout. */
@@ -182,6 +187,15 @@
 		});
 		const collector = createByteCollector();
 		let bytes = 0;
+		let handle: CallHandle | undefined;
+		trackCallerEnd(response, socket, () => {
+			connections.recordAbandoned(response);
+			onDisconnected(callId);
+			const isSent = handle?.cancelAttempt !== undefined;
+			refuseUnread(response, ports, isSent
+				? createFailure(ERROR_CODES.answerAbandoned, {outcome: OUTCOMES.refusedUnknown})
+				: createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+		});
 		reading.add(response);
 		response.on('close', () => {
 			reading.delete(response);
@@ -221,12 +235,13 @@
 			const body = collector.take();
 			connections.recordComplete(response);
 			held.isReading = false;
-			const handle: CallHandle = {
+			const callHandle: CallHandle = {
 				callId, request, body, response, held, sentForm: SENT_FORMS.nothing, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
 			};
+			handle = callHandle;
 			response.on('close', () => {
 				if (!response.writableFinished) {
-					onDisconnected(handle.callId);
+					onDisconnected(callId);
 				}
 			});
 			if (isStopping()) {
@@ -235,7 +250,7 @@
 
 			const call = {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)};
 			waitForPendingDisconnects(lagMs => {
-				if (response.destroyed || socket.destroyed || socket.readableEnded) {
+				if (response.destroyed || response.writableEnded || socket.destroyed || socket.readableEnded) {
 					reportUnanswered(REQUEST_STAGES.waiting);
 					return;
 				}
@@ -247,12 +262,12 @@
 				}
 
 				arrivalMonitor.schedule(() => {
-					if (response.destroyed) {
+					if (response.destroyed || response.writableEnded) {
 						reportUnanswered(REQUEST_STAGES.waiting);
 					} else {
 						const nowMs = performance.now();
 						connections.recordCall(response);
-						onCall(handle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
+						onCall(callHandle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
 					}
 				});
 			});
@@ -272,6 +287,13 @@
 	server.on('connection', socket => {
 		connections.recordConnection(socket, throttle.recordConnection(socket));
 		arrivalMonitor.recordConnection(socket);
+		socket.prependListener('end', () => {
+			const held = throttle.findReader(socket)?.findHeld();
+			if (held?.isWhole === true && connections.countOpen(socket) === 0) {
+				onHeadRefused(held);
+				refuseHeld(held, createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+			}
+		});
 	});
 	// The HTTP server tells nothing of bytes before the head of a request, such as line breaks.
 	const unproductiveTimer = setInterval(() => {
@@ -330,7 +352,11 @@
 }
 
 /** Refuses a request whose body is not kept, and closes its connection. No target knows the request. */
-export function refuseUnread(response: ServerResponse, ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>, failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})): void {
+export function refuseUnread(
+	response: ServerResponse,
+	ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>,
+	failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}),
+): void {
 	response.shouldKeepAlive = false;
 	writeRefusal({response, ports, failure});
 	discardRest(response.req);
@@ -347,21 +373,6 @@
 	incoming.removeAllListeners('data').resume();
 }
 
-/**
- * Waits until socket events that are already pending are processed, so that a
- * caller that has already disconnected is detected.
- *
- * @param onWaited - called afterwards with the time that the event loop took
- */
-function waitForPendingDisconnects(onWaited: (lagMs: number) => void): void {
-	const startedAtMs = performance.now();
-	setImmediate(() => {
-		setImmediate(() => {
-			onWaited(performance.now() - startedAtMs);
-		});
-	});
-}
-
 function computeFingerprint(method: string, {path, key}: FingerprintedFields, body: Buffer): string {
 	return createHash('sha1').update(`${method}\n${path}\n${key ?? ''}\n`).update(body).digest('base64').slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -14,6 +14,8 @@
 	readonly recordComplete: (response: ServerResponse) => void;
 	/** Records that a request was passed to the reducer. */
 	readonly recordCall: (response: ServerResponse) => void;
+	/** Records that the caller of a request has ended its sending side, so that its answer is given up. */
+	readonly recordAbandoned: (response: ServerResponse) => void;
 	/** Counts the connections that are open, and those of them that have sent part of a request. */
 	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
 	/** Returns the open connections with how far their requests have come. */
@@ -58,7 +60,7 @@
 
 export type RequestStage = typeof REQUEST_STAGES[keyof typeof REQUEST_STAGES];
 
-/** A request whose connection closed before its whole answer was handed to the operating system. */
+/** A request whose connection closed before its whole answer was handed to the operating system, or whose caller ended its side. */
 export type CutRequest = {
 	readonly requestId: string;
 	readonly stage: RequestStage;
@@ -71,6 +73,8 @@
 	readonly errorCode: string | undefined;
 	/** Whether the whole request was read. */
 	readonly isWhole: boolean;
+	/** Whether the caller ended its sending side before the head of an answer, and was sent a refusal. */
+	readonly isAbandoned: boolean;
 	readonly isHeadSent: boolean;
 	/** Bytes of the answer that the operating system took, and those that it did not. */
 	readonly sentBytes: number;
@@ -95,7 +99,7 @@
 	isEndedByCaller: boolean;
 	errorCode: string | undefined;
 };
-type TrackedRequest = {stage: RequestStage};
+type TrackedRequest = {stage: RequestStage; isAbandoned: boolean};
 
 const NO_CAUSE: Partial<CloseCause> = {};
 /** Codes of errors that a caller causes by closing its connection. */
@@ -157,7 +161,7 @@
 			}
 
 			const {reader} = connection;
-			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
+			const request: TrackedRequest = {stage: REQUEST_STAGES.reading, isAbandoned: false};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
 			connection.responses.add(response);
@@ -166,18 +170,21 @@
 				requests.delete(response);
 				if (response.writableFinished) {
 					connection.lingeringClose.recordAnswer();
-				} else {
+				}
+
+				if (!response.writableFinished || request.isAbandoned) {
 					const isClosedByCaller = connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '');
 					const {reason, code} = isClosedByCaller ? NO_CAUSE : findCloseCause(socket);
 					onCut({
 						requestId,
-						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
+						stage: response.writableEnded && !request.isAbandoned ? REQUEST_STAGES.answered : request.stage,
 						closedBy: isClosedByCaller ? 'caller' : 'entry',
 						reason,
 						reasonCode: code,
 						errorCode: connection.errorCode,
 						isWhole: response.req.complete,
-						isHeadSent: response.headersSent,
+						isAbandoned: request.isAbandoned,
+						isHeadSent: response.headersSent && !request.isAbandoned,
 						sentBytes: socket.bytesWritten - socket.writableLength - sentBefore,
 						unsentBytes: socket.writableLength,
 					});
@@ -200,6 +207,12 @@
 				request.stage = REQUEST_STAGES.called;
 			}
 		},
+		recordAbandoned(response) {
+			const request = requests.get(response);
+			if (request !== undefined) {
+				request.isAbandoned = true;
+			}
+		},
 		describeOpen: () => ({
 			openConnections: connections.size,
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
