--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -8,13 +8,17 @@
 	type CallerLimits, type CallRequest, LEAVING_RETRY_AFTER_MS, SENT_FORMS, type WaitedTimes,
 } from '@damaskspool/core';
 import {createByteCollector, type DeploymentPorts, type ReadGovernor} from '@damaskspool/runtime';
-import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
+import {
+	createFailure, ERROR_CODES, type Failure, OUTCOMES,
+} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
+import {CLOSE_REASONS, destroyConnection} from './closeReasons.js';
 import {type ArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallerThrottle} from './createCallerThrottle.js';
-import {type ConnectionTracker} from './createConnectionTracker.js';
+import {type ConnectionTracker, REQUEST_STAGES, type RequestStage} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type HeldRequest} from './createRequestReader.js';
+import {trackCallerEnd, waitForPendingDisconnects} from './trackCallerEnd.js';
 import {writeRefusal, writeUnparsedRefusal} from './writeRefusal.js';
 
 /** Options of {@link createCallerServer}. */
@@ -32,18 +36,35 @@
 	readonly onOverloaded: (requestId: string, lagMs: number) => void;
 	/** Called with a request that is refused before its body is read, because memory is short. */
 	readonly onBodyRefused: (requestId: string, bodyBytes: number) => void;
+	/** Called with a request that gets no answer because its connection is not open any more. */
+	readonly onUnanswered: (request: UnansweredRequest) => void;
 	/** Called with a request that is refused before it is parsed, because its head waited too long for its turn. */
 	readonly onHeadRefused: (held: HeldRequest) => void;
 	/** Called if the caller disconnects before the response is complete. */
 	readonly onDisconnected: (callId: number) => void;
 };
 
+/** A request without an answer, and the state of its connection. */
+export type UnansweredRequest = {
+	readonly requestId: string;
+	readonly stage: RequestStage;
+	/** Whether the whole request was read. */
+	readonly isWhole: boolean;
+	readonly isAnswerDestroyed: boolean;
+	readonly isDestroyed: boolean;
+	/** Whether the caller has ended its sending side. */
+	readonly isEndedByCaller: boolean;
+	readonly isWritable: boolean;
+};
+
 /** Head that the HTTP parser takes. More than any limit that a configuration sets, which holds before the parser reads a head. */
 const MAX_PARSED_HEADER_BYTES = 16_777_216;
 /** Event loop lag above which new requests are refused. Such a lag uses up most of the latency objective of a short prompt. */
 const MAX_EVENT_LOOP_LAG_MS = 150;
 /** Retry delay sent with such a refusal. A freshly started process has caught up by then. */
 const OVERLOAD_RETRY_AFTER_MS = 600;
+/** Retry delay sent to a caller that ended its sending side before its request was passed on. */
+const ABANDONED_RETRY_AFTER_MS = 10;
 /** Characters of a fingerprint: 72 bits, so that no two requests of a day collide. */
 const FINGERPRINT_LENGTH = 12;
 /** Interval between checks for connections that exceed the header timeout. */
@@ -84,7 +105,7 @@
  * @returns the server, not listening yet
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onHeadRefused, onDisconnected} = options;
+	const {ports, findLimits, isStopping, arrivalMonitor, connections, readGovernor, memoryLedger, onCall, onOverloaded, onBodyRefused, onUnanswered, onHeadRefused, onDisconnected} = options;
 	const findMaxHeadBytes = () => findLimits()?.headerBytes ?? INITIAL_LIMITS.headerBytes;
 	const throttle = createCallerThrottle({
 		readGovernor,
@@ -102,7 +123,7 @@
 	const rejectRequest = (socket: Socket, code: string | undefined) => {
 		const end = () => {
 			if (!socket.writable || connections.countOpen(socket) > 0) {
-				socket.destroy();
+				destroyConnection(socket, {reason: CLOSE_REASONS.rejected, code});
 				return;
 			}
 
@@ -127,12 +148,25 @@
 	const receive = (incoming: IncomingMessage, response: ServerResponse) => {
 		const {socket} = incoming;
 		const reader = throttle.findReader(socket);
+		const request = ports.parseCallerRequest(incoming);
+		const reportUnanswered = (stage: RequestStage) => {
+			onUnanswered({
+				requestId: request.call.requestId,
+				stage,
+				isWhole: incoming.complete,
+				isAnswerDestroyed: response.destroyed,
+				isDestroyed: socket.destroyed,
+				isEndedByCaller: socket.readableEnded,
+				isWritable: socket.writable,
+			});
+		};
+
 		if (reader === undefined) {
+			reportUnanswered(REQUEST_STAGES.reading);
 			response.destroy();
 			return;
 		}
 
-		const request = ports.parseCallerRequest(incoming);
 		const declaredBytes = Number(incoming.headers['content-length'] ?? 0);
 		const isChunked = incoming.headers['transfer-encoding'] !== undefined;
 		connections.recordRequest(response, socket, request.call.requestId);
@@ -153,6 +187,15 @@
 		});
 		const collector = createByteCollector();
 		let bytes = 0;
+		let handle: CallHandle | undefined;
+		trackCallerEnd(response, socket, () => {
+			connections.recordAbandoned(response);
+			onDisconnected(callId);
+			const isSent = handle?.cancelAttempt !== undefined;
+			refuseUnread(response, ports, isSent
+				? createFailure(ERROR_CODES.answerAbandoned, {outcome: OUTCOMES.refusedUnknown})
+				: createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+		});
 		reading.add(response);
 		response.on('close', () => {
 			reading.delete(response);
@@ -192,12 +235,13 @@
 			const body = collector.take();
 			connections.recordComplete(response);
 			held.isReading = false;
-			const handle: CallHandle = {
+			const callHandle: CallHandle = {
 				callId, request, body, response, held, sentForm: SENT_FORMS.nothing, lastEventId: request.lastEventId, cancelAttempt: undefined, bufferedResponse: undefined,
 			};
+			handle = callHandle;
 			response.on('close', () => {
 				if (!response.writableFinished) {
-					onDisconnected(handle.callId);
+					onDisconnected(callId);
 				}
 			});
 			if (isStopping()) {
@@ -206,7 +250,8 @@
 
 			const call = {...request.call, bodyBytes: body.length, fingerprint: computeFingerprint(request.method, request.call, body)};
 			waitForPendingDisconnects(lagMs => {
-				if (response.destroyed || socket.destroyed || socket.readableEnded) {
+				if (response.destroyed || response.writableEnded || socket.destroyed || socket.readableEnded) {
+					reportUnanswered(REQUEST_STAGES.waiting);
 					return;
 				}
 
@@ -217,10 +262,12 @@
 				}
 
 				arrivalMonitor.schedule(() => {
-					if (!response.destroyed) {
+					if (response.destroyed || response.writableEnded) {
+						reportUnanswered(REQUEST_STAGES.waiting);
+					} else {
 						const nowMs = performance.now();
 						connections.recordCall(response);
-						onCall(handle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
+						onCall(callHandle, call, {waitedMs: nowMs - arrivedAtMs, completeForMs: nowMs - completedAtMs});
 					}
 				});
 			});
@@ -240,12 +287,19 @@
 	server.on('connection', socket => {
 		connections.recordConnection(socket, throttle.recordConnection(socket));
 		arrivalMonitor.recordConnection(socket);
+		socket.prependListener('end', () => {
+			const held = throttle.findReader(socket)?.findHeld();
+			if (held?.isWhole === true && connections.countOpen(socket) === 0) {
+				onHeadRefused(held);
+				refuseHeld(held, createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+			}
+		});
 	});
 	// The HTTP server tells nothing of bytes before the head of a request, such as line breaks.
 	const unproductiveTimer = setInterval(() => {
 		for (const socket of connections.listUnproductive((2 * findMaxHeadBytes()) + MAX_LEADING_BYTES)) {
 			throttle.runInTurn(socket, () => {
-				socket.destroy();
+				destroyConnection(socket, {reason: CLOSE_REASONS.rejected});
 			});
 		}
 	}, UNPRODUCTIVE_CHECK_INTERVAL_MS);
@@ -298,7 +352,11 @@
 }
 
 /** Refuses a request whose body is not kept, and closes its connection. No target knows the request. */
-export function refuseUnread(response: ServerResponse, ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>, failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS})): void {
+export function refuseUnread(
+	response: ServerResponse,
+	ports: Pick<DeploymentPorts, 'formatRefusalHeaders'>,
+	failure = createFailure(ERROR_CODES.overloaded, {retryAfterMs: OVERLOAD_RETRY_AFTER_MS}),
+): void {
 	response.shouldKeepAlive = false;
 	writeRefusal({response, ports, failure});
 	discardRest(response.req);
@@ -315,21 +373,6 @@
 	incoming.removeAllListeners('data').resume();
 }
 
-/**
- * Waits until socket events that are already pending are processed, so that a
- * caller that has already disconnected is detected.
- *
- * @param onWaited - called afterwards with the time that the event loop took
- */
-function waitForPendingDisconnects(onWaited: (lagMs: number) => void): void {
-	const startedAtMs = performance.now();
-	setImmediate(() => {
-		setImmediate(() => {
-			onWaited(performance.now() - startedAtMs);
-		});
-	});
-}
-
 function computeFingerprint(method: string, {path, key}: FingerprintedFields, body: Buffer): string {
 	return createHash('sha1').update(`${method}\n${path}\n${key ?? ''}\n`).update(body).digest('base64').slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -200,7 +200,7 @@
 		const splitter = createEventSplitter({lastEventId: handle.lastEventId, extraFields: ports.extraEventFields});
 		return {
 			write(chunk) {
-				const {completeEvents, isOutOfOrder} = splitter.push(chunk);
+				const {completeEvents, refusal} = splitter.push(chunk);
 				if (completeEvents !== undefined) {
 					begin();
 					writeHead(status, head, {form: SENT_FORMS.events});
@@ -208,14 +208,15 @@
 					forwarder.push(completeEvents);
 				}
 
-				if (isOutOfOrder) {
-					fail(`the stream goes on with something else than its next event (after ${handle.lastEventId ?? 'none'})`);
+				if (refusal !== undefined) {
+					fail(`the stream goes on with something else than its next event: ${refusal}`);
 				} else if (splitter.countIncompleteBytes() > MAX_BUFFERED_BYTES) {
 					fail('an event of the stream is longer than any event');
 				}
 			},
 			end() {
-				if (splitter.countIncompleteBytes() > 0) {
+				const {isWithinEvent, rest} = splitter.finish();
+				if (isWithinEvent) {
 					finish(ATTEMPT_RESULTS.unknown, 'the stream ended within an event');
 					return;
 				}
@@ -225,13 +226,17 @@
 					return;
 				}
 
+				begin();
+				writeHead(status, head, {form: SENT_FORMS.events});
+				if (rest !== undefined) {
+					forwarder.push(rest);
+				}
+
 				if (framing === ANSWER_FRAMINGS.connection && isCloseDoubtful) {
 					finish(ATTEMPT_RESULTS.closed, 'the stream ended with its connection between events');
 					return;
 				}
 
-				begin();
-				writeHead(status, head, {form: SENT_FORMS.events});
 				forwarder.flush();
 				response.end();
 				finish(ATTEMPT_RESULTS.answered, `status ${status}`);
