Close no connection whose request waits for its turn as one that sends none

Callers whose requests had a long body found their connection closed without an answer and without a log line, while the entry was busy with bytes of others.

Cause: a connection counts as sending no request from 98 KB on without one. The count held everything that was read of it, also bytes that nobody had looked at yet because the connection waits for its turn. One read of 64 KB and one that the socket had under way exceed it, with any body that long.

Bytes that wait, in the reader or in the socket, no longer count. Both are bounded, as the connection is not read meanwhile.

--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -30,7 +30,7 @@
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
 	readonly countOpen: (socket: Socket) => number;
-	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
+	/** Returns the connections of which more than so many bytes were looked at since their last request, which are no request. */
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
 	/** From now on, each answer whose head is not sent yet announces the end of its connection. */
 	readonly beginStop: () => void;
@@ -132,6 +132,10 @@
 		return unanswered.length < responses.size ? CONNECTION_STAGES.unread : CONNECTION_STAGES.body;
 	};
 
+	/** Bytes that wait for their turn may belong to a request, so only those that were looked at count. */
+	const countUnproductiveBytes = (socket: Socket, {answeredBytes, reader}: TrackedConnection) =>
+		socket.bytesRead - answeredBytes - socket.readableLength - (reader.findHeld()?.heldBytes ?? 0);
+
 	return {
 		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
@@ -225,8 +229,8 @@
 		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
 		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
-		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
-			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
+		listUnproductive: maxBytes => [...connections].filter(([socket, connection]) =>
+			connection.openRequests === 0 && countUnproductiveBytes(socket, connection) > maxBytes).map(([socket]) => socket),
 		beginStop() {
 			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
