Reset the connection of an answer that is cut where its end would look like the end of the answer

Callers of HTTP/1.0 get streams without a length, which end with their connection. Where the entry cut such a stream, because its target had broken off or a limit was over, it closed the connection properly, and the caller took the part for the whole.

Cause: a cut was always a plain close. That is a sign of a broken answer only in chunks or behind a length.

Where an answer is not sent in chunks, a cut now resets the connection.

--- a/packages/daemon/src/direct/closeReasons.ts
+++ b/packages/daemon/src/direct/closeReasons.ts
@@ -1,3 +1,4 @@
+import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 
 /** Why an entry closes a connection of a caller. */
@@ -41,6 +42,22 @@
 	socket.destroy();
 }
 
+/**
+ * Closes the connection of an answer that is not whole. Where its end is told by that of the connection, as to callers of
+ * HTTP/1.0, the connection is reset, since the caller would take a proper close for the end of a whole answer.
+ */
+export function destroyAnswer(response: ServerResponse, cause: CloseCause): void {
+	const {socket} = response;
+	if (socket !== null) {
+		recordCloseCause(socket, cause);
+		if (response.headersSent && !response.chunkedEncoding) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	response.destroy();
+}
+
 /** Returns why the entry closed a connection. */
 export function findCloseCause(socket: Socket): CloseCause {
 	return causes.get(socket) ?? {reason: CLOSE_REASONS.unknown};
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -9,7 +9,7 @@
 } from '@damaskspool/runtime';
 import {ERROR_CODES} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
-import {CLOSE_REASONS, recordCloseCause} from './closeReasons.js';
+import {CLOSE_REASONS, destroyAnswer} from './closeReasons.js';
 import {createArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer, refuseUnread} from './createCallerServer.js';
@@ -130,11 +130,7 @@
 			if (isReading) {
 				refuseUnread(response, ports);
 			} else {
-				if (response.socket !== null) {
-					recordCloseCause(response.socket, {reason: CLOSE_REASONS.memory});
-				}
-
-				response.destroy();
+				destroyAnswer(response, {reason: CLOSE_REASONS.memory});
 			}
 		},
 	});
--- a/packages/daemon/src/direct/writeRefusal.ts
+++ b/packages/daemon/src/direct/writeRefusal.ts
@@ -5,7 +5,7 @@
 import {
 	ERROR_CODES, ERROR_DESCRIPTIONS, type ErrorCode, type Failure,
 } from '@damaskspool/shared';
-import {CLOSE_REASONS, type CloseReason, recordCloseCause} from './closeReasons.js';
+import {CLOSE_REASONS, type CloseReason, destroyAnswer} from './closeReasons.js';
 
 /** Options of {@link writeRefusal}. */
 export type RefusalOptions = {
@@ -27,11 +27,7 @@
  */
 export function writeRefusal({response, ports, failure}: RefusalOptions): void {
 	if (response.headersSent || response.destroyed) {
-		if (response.socket !== null) {
-			recordCloseCause(response.socket, {reason: CUT_REASONS[failure.code] ?? CLOSE_REASONS.refused, code: failure.code});
-		}
-
-		response.destroy();
+		destroyAnswer(response, {reason: CUT_REASONS[failure.code] ?? CLOSE_REASONS.refused, code: failure.code});
 		return;
 	}
 
