--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -1,4 +1,5 @@
 import {endAttempt, releaseHandover, releaseReservation} from './attemptWork.js';
+import {clearSuspicion} from './crashHandlers.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 import {findClosedEnd, recordStreamEnd} from './streamEnds.js';
@@ -12,7 +13,7 @@
 } as const;
 
 /** How an answer was framed and after which event it ended. */
-type AnswerDescription = Pick<Extract<ServingEvent, {type: 'attempt.ended'}>, 'framing' | 'lastEventId'>;
+type AnswerDescription = Pick<Extract<ServingEvent, {type: 'attempt.ended'}>, 'framing' | 'closeSigns' | 'lastEventId'>;
 
 /** How a call ended. */
 type CallEnd = {
@@ -45,6 +46,7 @@
 			waitedMs: Math.round(call.waitedMs),
 			beganMs: call.firstByteAtMs === undefined ? undefined : Math.round(call.firstByteAtMs - call.arrivedAtMs),
 			framing: answer?.framing,
+			closeSigns: answer?.closeSigns,
 			lastEventId: answer?.lastEventId,
 			confirmation,
 			plan: call.placementDetail,
@@ -64,6 +66,7 @@
 	const answer = findClosedEnd(call)!;
 	recordStreamEnd(state, call, answer);
 	return [
+		...clearSuspicion(state, call, nowMs),
 		...endCall(state, call, {
 			nowMs, outcome: 'answered', answer, confirmation,
 		}),
--- a/packages/daemon/src/direct/createConnectionTracker.ts
+++ b/packages/daemon/src/direct/createConnectionTracker.ts
@@ -1,6 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {CONNECTION_STAGES, type ConnectionStage} from '@damaskspool/core';
+import {type CloseCause, type CloseReason, findCloseCause} from './closeReasons.js';
 import {createLingeringClose, type LingeringClose} from './createLingeringClose.js';
 import {type RequestReader} from './createRequestReader.js';
 
@@ -13,6 +14,8 @@
 	readonly recordComplete: (response: ServerResponse) => void;
 	/** Records that a request was passed to the reducer. */
 	readonly recordCall: (response: ServerResponse) => void;
+	/** Records that the caller of a request has ended its sending side, so that its answer is given up. */
+	readonly recordAbandoned: (response: ServerResponse) => void;
 	/** Counts the connections that are open, and those of them that have sent part of a request. */
 	readonly describeOpen: () => {readonly openConnections: number; readonly partialRequests: number};
 	/** Returns the open connections with how far their requests have come. */
@@ -27,7 +30,7 @@
 	readonly countRequests: () => number;
 	/** Returns the number of requests on a connection that are being read or answered. */
 	readonly countOpen: (socket: Socket) => number;
-	/** Returns the connections that have sent more than so many bytes since their last request, which are no request. */
+	/** Returns the connections of which more than so many bytes were looked at since their last request, which are no request. */
 	readonly listUnproductive: (maxBytes: number) => readonly Socket[];
 	/** From now on, each answer whose head is not sent yet announces the end of its connection. */
 	readonly beginStop: () => void;
@@ -57,14 +60,21 @@
 
 export type RequestStage = typeof REQUEST_STAGES[keyof typeof REQUEST_STAGES];
 
-/** A request whose connection closed before its whole answer was handed to the operating system. */
+/** A request whose connection closed before its whole answer was handed to the operating system, or whose caller ended its side. */
 export type CutRequest = {
 	readonly requestId: string;
 	readonly stage: RequestStage;
 	/** `caller` if the caller ended or reset its side, `entry` otherwise. */
 	readonly closedBy: 'caller' | 'entry';
+	/** Why the entry closed the connection, and the code of the refusal or of the parser's error; undefined if the caller closed it. */
+	readonly reason: CloseReason | undefined;
+	readonly reasonCode: string | undefined;
 	/** Code of the error of the connection, if there was one. */
 	readonly errorCode: string | undefined;
+	/** Whether the whole request was read. */
+	readonly isWhole: boolean;
+	/** Whether the caller ended its sending side before the head of an answer, and was sent a refusal. */
+	readonly isAbandoned: boolean;
 	readonly isHeadSent: boolean;
 	/** Bytes of the answer that the operating system took, and those that it did not. */
 	readonly sentBytes: number;
@@ -89,8 +99,9 @@
 	isEndedByCaller: boolean;
 	errorCode: string | undefined;
 };
-type TrackedRequest = {stage: RequestStage};
+type TrackedRequest = {stage: RequestStage; isAbandoned: boolean};
 
+const NO_CAUSE: Partial<CloseCause> = {};
 /** Codes of errors that a caller causes by closing its connection. */
 const CALLER_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -121,6 +132,10 @@
 		return unanswered.length < responses.size ? CONNECTION_STAGES.unread : CONNECTION_STAGES.body;
 	};
 
+	/** Bytes that wait for their turn may belong to a request, so only those that were looked at count. */
+	const countUnproductiveBytes = (socket: Socket, {answeredBytes, reader}: TrackedConnection) =>
+		socket.bytesRead - answeredBytes - socket.readableLength - (reader.findHeld()?.heldBytes ?? 0);
+
 	return {
 		recordConnection(socket, reader) {
 			const connection: TrackedConnection = {
@@ -150,7 +165,7 @@
 			}
 
 			const {reader} = connection;
-			const request: TrackedRequest = {stage: REQUEST_STAGES.reading};
+			const request: TrackedRequest = {stage: REQUEST_STAGES.reading, isAbandoned: false};
 			const sentBefore = socket.bytesWritten;
 			connection.openRequests += 1;
 			connection.responses.add(response);
@@ -159,13 +174,21 @@
 				requests.delete(response);
 				if (response.writableFinished) {
 					connection.lingeringClose.recordAnswer();
-				} else {
+				}
+
+				if (!response.writableFinished || request.isAbandoned) {
+					const isClosedByCaller = connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '');
+					const {reason, code} = isClosedByCaller ? NO_CAUSE : findCloseCause(socket);
 					onCut({
 						requestId,
-						stage: response.writableEnded ? REQUEST_STAGES.answered : request.stage,
-						closedBy: connection.isEndedByCaller || CALLER_ERROR_CODES.has(connection.errorCode ?? '') ? 'caller' : 'entry',
+						stage: response.writableEnded && !request.isAbandoned ? REQUEST_STAGES.answered : request.stage,
+						closedBy: isClosedByCaller ? 'caller' : 'entry',
+						reason,
+						reasonCode: code,
 						errorCode: connection.errorCode,
-						isHeadSent: response.headersSent,
+						isWhole: response.req.complete,
+						isAbandoned: request.isAbandoned,
+						isHeadSent: response.headersSent && !request.isAbandoned,
 						sentBytes: socket.bytesWritten - socket.writableLength - sentBefore,
 						unsentBytes: socket.writableLength,
 					});
@@ -188,6 +211,12 @@
 				request.stage = REQUEST_STAGES.called;
 			}
 		},
+		recordAbandoned(response) {
+			const request = requests.get(response);
+			if (request !== undefined) {
+				request.isAbandoned = true;
+			}
+		},
 		describeOpen: () => ({
 			openConnections: connections.size,
 			partialRequests: [...connections].filter(([socket, {answeredBytes, openRequests}]) => openRequests === 0 && socket.bytesRead > answeredBytes).length,
@@ -200,8 +229,8 @@
 		countRequests: () => requests.size + [...connections.values()].filter(({reader}) => reader.isHeadWhole()).length,
 		countLingering: () => [...connections.values()].filter(({lingeringClose}) => lingeringClose.isLingering()).length,
 		countOpen: socket => connections.get(socket)?.openRequests ?? 0,
-		listUnproductive: maxBytes => [...connections].filter(([socket, {answeredBytes, openRequests}]) =>
-			openRequests === 0 && socket.bytesRead - answeredBytes > maxBytes).map(([socket]) => socket),
+		listUnproductive: maxBytes => [...connections].filter(([socket, connection]) =>
+			connection.openRequests === 0 && countUnproductiveBytes(socket, connection) > maxBytes).map(([socket]) => socket),
 		beginStop() {
 			for (const response of requests.keys()) {
 				// Has no effect on an answer whose head is sent.
