Take streams whose numbers increase without being consecutive

The users' page promises increasing identifiers. Callers of sound targets whose numbers go 1, 4, 7 were cut off after the first event, and got 502 where a stream began at 7: each number had to be one more than the last one.

Numbers must now increase, and be consecutive only where whole streams of the service, from their beginning, have been (two steps or more). Then a gap is refused as before, unless two targets show that the service leaves numbers out: both have ended streams with gaps whole, or the target that is asked next goes on with the number that was refused, after the same last event. A caller that takes a stream up has the same rule with its own number, and its streams teach nothing, since their beginning is not known.

A gap that one target alone sends in a stream that may not be resumed is still refused once streams were consecutive, and events that get lost before a whole consecutive stream was seen are not noticed.

--- a/packages/core/src/serving/callAttempts.ts
+++ b/packages/core/src/serving/callAttempts.ts
@@ -16,6 +16,7 @@
 import {type ServingEffect} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 import {findClosedEnd, isCloseDoubtful} from './streamEnds.js';
+import {findRefusedNumber, hasConsecutiveEvents} from './streamForms.js';
 
 /** Remaining time of a call below which no attempt is sent. */
 const MIN_REMAINING_MS = 20;
@@ -137,6 +138,8 @@
 		isResumable: call.route.isResumable,
 		isTakeUp: hasEarlierEvents(call),
 		isCloseDoubtful: isCloseDoubtful(state, call, plan.target),
+		areEventsConsecutive: hasConsecutiveEvents(state, call.serviceId),
+		refusedEventNumber: findRefusedNumber(call, plan.target),
 	};
 }
 
--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -25,6 +25,7 @@
 import {
 	beginConfirmation, beginRest, findClosedEnd, recordStreamEnd,
 } from './streamEnds.js';
+import {recordStreamForm} from './streamForms.js';
 import {type CallArrived, holdTakeUp, mayConfirmVersion} from './streamTakeUps.js';
 
 /** Handlers of the events of a call, from its arrival to its end. */
@@ -116,7 +117,7 @@
 		}
 
 		endAttempt(state, call, {result, nowMs});
-		return attemptEndHandlers[result](state, call, event);
+		return [...recordStreamForm(state, call, event), ...attemptEndHandlers[result](state, call, event)];
 	},
 };
 
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,5 +1,6 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
 import {type AnswerFraming} from '../request/answerFraming.js';
+import {type StreamForm} from '../request/eventOrder.js';
 import {type ReportedAllotment} from '../allotments/createAllotments.js';
 import {type ReportedLimit} from '../limits/targetLimit.js';
 import {type ReportedSpeed} from '../placement/reportedSpeed.js';
@@ -76,6 +77,10 @@
 	readonly isTakeUp: boolean;
 	/** Whether the end of a connection between events is no proof of the stream's end, and another target can tell what is left. */
 	readonly isCloseDoubtful: boolean;
+	/** Whether the numbers of events are known to be consecutive, so that a gap is an event that is missing. */
+	readonly areEventsConsecutive: boolean;
+	/** Number that another target has sent after the last event of the caller, and that was refused because it leaves others out. */
+	readonly refusedEventNumber: number | undefined;
 };
 
 /** Ends a call with an error response of the entry. */
@@ -192,6 +197,8 @@
 			readonly framing?: AnswerFraming | undefined;
 			/** Last event that the caller has; undefined outside of streams. */
 			readonly lastEventId?: string | undefined;
+			/** Undefined outside of streams. */
+			readonly streamForm?: StreamForm | undefined;
 		}>
 		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
 		/** The store has confirmed that no registration of a target has changed. */
--- a/packages/core/src/serving/servingState.ts
+++ b/packages/core/src/serving/servingState.ts
@@ -23,6 +23,7 @@
 import {type CallRequest, type PeerReport} from './servingMessages.js';
 import {type RouteRecord, type ServingConfiguration} from './servingRecords.js';
 import {type ClosedEnd} from './streamEnds.js';
+import {type EventGaps, type ServiceStreamForm} from './streamForms.js';
 import {type CallArrived} from './streamTakeUps.js';
 
 /** The current attempt of a call. */
@@ -98,6 +99,8 @@
 	isResponseStarted: boolean;
 	/** End of its stream that another target is asked to confirm. */
 	closedEnd: ClosedEnd | undefined;
+	/** Numbers that events of its stream leave out; undefined before an attempt has brought events. */
+	eventGaps?: EventGaps | undefined;
 };
 
 /** Complete state of an entry that sends to targets directly. */
@@ -133,6 +136,8 @@
 	readonly streamVersions: StreamVersions;
 	/** Services whose targets have ended a stream by its length or its last chunk, so that they need no end of a connection for it. */
 	readonly servicesWithDelimitedStreams: Set<string>;
+	/** How services number the events of their streams. */
+	readonly streamForms: Map<string, ServiceStreamForm>;
 	readonly versionHistory: VersionHistory;
 	/** Requests that take up a stream, held until the store has told which versions serve, by call. */
 	readonly takeUps: Map<number, CallArrived>;
@@ -222,6 +227,7 @@
 		partHistory: createPartHistory(options.hasPartHistory ?? false),
 		serviceVersions: createServiceVersions(),
 		servicesWithDelimitedStreams: new Set(),
+		streamForms: new Map(),
 		streamVersions: createStreamVersions(),
 		versionHistory: createVersionHistory(options.hasVersionHistory ?? false),
 		takeUps: new Map(),
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {findOrderFault} from '@damaskspool/core';
+import {
+	advanceEventOrder, createEventOrder, type EventOrderStart, type StreamForm,
+} from '@damaskspool/core';
 import {findLineEnd, LINE_ENDS, type LineEnd} from './lineEnds.js';
 import {BLOCK_KINDS, MIXED_LINE_ENDS, parseEvent} from './parseEvent.js';
 
@@ -30,14 +32,14 @@
 	readonly finish: () => SplitEnd;
 	/** Returns the identifier of the last complete event, or the one that the splitter was created with. */
 	readonly getLastEventId: () => string | undefined;
+	/** Returns what the events have shown of how they are numbered. */
+	readonly getForm: () => StreamForm;
 	/** Returns the number of buffered bytes: those of an incomplete event, and those held until the first event. */
 	readonly countIncompleteBytes: () => number;
 };
 
 /** Options of {@link createEventSplitter}. */
-export type EventSplitterOptions = {
-	/** Identifier of the last event that the caller has; undefined if it has none. */
-	readonly lastEventId: string | undefined;
+export type EventSplitterOptions = EventOrderStart & {
 	/** Names of fields that targets may send in addition to the standard ones. */
 	readonly extraFields: ReadonlySet<string>;
 };
@@ -49,7 +51,7 @@
  * Creates a splitter that buffers an event until it is complete, so that a caller never receives part of an event when the
  * target's connection breaks, nor bytes that are no event of the stream.
  */
-export function createEventSplitter({lastEventId: firstEventId, extraFields}: EventSplitterOptions): EventSplitter {
+export function createEventSplitter({extraFields, ...orderStart}: EventSplitterOptions): EventSplitter {
 	/** Starts with the bytes that are held. Grows by doubling, so that small chunks are not copied again and again. */
 	let buffer: Buffer = Buffer.alloc(0);
 	let length = 0;
@@ -57,8 +59,7 @@
 	let blockStart = 0;
 	/** Bytes of complete lines since the last event. */
 	let silentBytes = 0;
-	let hasEvents = false;
-	let lastEventId = firstEventId;
+	let order = createEventOrder(orderStart);
 	let lineEnd: LineEnd | undefined;
 
 	/** Returns the bytes that are held followed by those of a chunk. */
@@ -99,14 +100,10 @@
 			return silentBytes > MAX_SILENT_BYTES ? `more than ${MAX_SILENT_BYTES} bytes without an event` : undefined;
 		}
 
-		const fault = findOrderFault(lastEventId, block.number);
-		if (fault === undefined) {
-			lastEventId = block.id;
-			hasEvents = true;
-			silentBytes = 0;
-		}
-
-		return fault;
+		const advanced = advanceEventOrder(order, block);
+		order = advanced.order;
+		silentBytes = 0;
+		return advanced.fault;
 	};
 
 	return {
@@ -131,7 +128,7 @@
 
 				blockStart = end;
 				searchStart = end;
-				passedLength = hasEvents ? end : 0;
+				passedLength = order.hasEvents ? end : 0;
 			}
 
 			// The rest need not wait for the end of an event that never comes.
@@ -158,7 +155,8 @@
 			const isWithinEvent = block?.kind !== BLOCK_KINDS.silent || block.hasFields;
 			return {isWithinEvent, rest: length === 0 || isWithinEvent ? undefined : held};
 		},
-		getLastEventId: () => lastEventId,
+		getLastEventId: () => order.lastEventId,
+		getForm: () => order,
 		countIncompleteBytes: () => length,
 	};
 }
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -2,7 +2,7 @@
 import {type Dispatcher} from 'undici';
 import {
 	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS,
-	type SendServingAttempt, type SentForm, type TargetNotice,
+	type SendServingAttempt, type SentForm, type StreamForm, type TargetNotice,
 } from '@damaskspool/core';
 import {
 	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
@@ -23,6 +23,8 @@
 	/** Undefined if no answer came. */
 	readonly framing: AnswerFraming | undefined;
 	readonly lastEventId: string | undefined;
+	/** How the target has numbered events; undefined outside of streams. */
+	readonly streamForm: StreamForm | undefined;
 };
 
 /** Options of {@link runAttempt}. */
@@ -89,6 +91,7 @@
 	let discardedBytes = 0;
 	let discardedPieces = 0;
 	let sink: BodySink | undefined;
+	let getStreamForm: (() => StreamForm) | undefined;
 	const forwarder = createForwarder({
 		response,
 		held: handle.held,
@@ -115,7 +118,7 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail, framing, lastEventId: handle.lastEventId,
+			result, isResponseStarted: response.headersSent, hasRun, detail, framing, lastEventId: handle.lastEventId, streamForm: getStreamForm?.(),
 		});
 	};
 
@@ -182,7 +185,10 @@
 	};
 
 	const createStreamSink = (status: number, head: ResponseHead): BodySink => {
-		const splitter = createEventSplitter({lastEventId: handle.lastEventId, extraFields: ports.extraEventFields});
+		const splitter = createEventSplitter({
+			lastEventId: handle.lastEventId, isConsecutive: attempt.areEventsConsecutive, refusedBefore: attempt.refusedEventNumber, extraFields: ports.extraEventFields,
+		});
+		getStreamForm = splitter.getForm;
 		return {
 			write(chunk) {
 				const {completeEvents, refusal} = splitter.push(chunk);
