--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -2,7 +2,7 @@
 import {type Dispatcher} from 'undici';
 import {
 	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, CLOSED_ANSWER_USES, type CloseSigns,
-	decideAnswerUse, decideClosedAnswer, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type TargetNotice,
+	decideAnswerUse, decideClosedAnswer, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type StreamForm, type TargetNotice,
 } from '@damaskspool/core';
 import {
 	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
@@ -26,6 +26,8 @@
 	/** Undefined unless the answer ended with its connection. */
 	readonly closeSigns: CloseSigns | undefined;
 	readonly lastEventId: string | undefined;
+	/** How the target has numbered events; undefined outside of streams. */
+	readonly streamForm: StreamForm | undefined;
 };
 
 /** Options of {@link runAttempt}. */
@@ -100,6 +102,7 @@
 	let discardedBytes = 0;
 	let discardedPieces = 0;
 	let sink: BodySink | undefined;
+	let getStreamForm: (() => StreamForm) | undefined;
 	const forwarder = createForwarder({
 		response,
 		held: handle.held,
@@ -129,7 +132,14 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail, framing, closeSigns, lastEventId: handle.lastEventId,
+			result,
+			isResponseStarted: response.headersSent,
+			hasRun,
+			detail,
+			framing,
+			closeSigns,
+			lastEventId: handle.lastEventId,
+			streamForm: getStreamForm?.(),
 		});
 	};
 
@@ -197,7 +207,10 @@
 	};
 
 	const createStreamSink = (status: number, head: ResponseHead): BodySink => {
-		const splitter = createEventSplitter({lastEventId: handle.lastEventId, extraFields: ports.extraEventFields});
+		const splitter = createEventSplitter({
+			lastEventId: handle.lastEventId, isConsecutive: attempt.areEventsConsecutive, refusedBefore: attempt.refusedEventNumber, extraFields: ports.extraEventFields,
+		});
+		getStreamForm = splitter.getForm;
 		return {
 			write(chunk) {
 				const {completeEvents, refusal} = splitter.push(chunk);
