Count a leave only if it was announced before the answer ended

The entry read whether a target leaves after its checks, up to 650 ms behind the end of the answer. A registration that is removed in that time may be that of a process that has ended, and its cut answer then counted as whole.

--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -328,12 +328,14 @@
 
 	/** Ends a response that ended with its connection. A target whose process has ended closes its connections as well. */
 	const endClosedResponse = async () => {
+		// A registration that is removed later may be that of a process that has ended.
+		const isLeaving = isTargetLeaving();
 		const signs = await watch!.findSigns();
 		if (isFinished) {
 			return;
 		}
 
-		closeSigns = {...signs, isLeaving: isTargetLeaving()};
+		closeSigns = {...signs, isLeaving};
 		const use = decideClosedAnswer(closeSigns, attempt);
 		isCloseDoubtful ||= use === CLOSED_ANSWER_USES.doubtful;
 		if (use === CLOSED_ANSWER_USES.broken) {
