Parse events without lists, and advance their order without copying it

An event of 63 bytes took 6.6 us in place of 2.7 since numbers and lines without events are looked at: the order was copied by spreading it, and fields were collected in lists.

--- a/packages/core/src/request/eventOrder.ts
+++ b/packages/core/src/request/eventOrder.ts
@@ -82,7 +82,6 @@
 
 	return {
 		order: {
-			...order,
 			lastEventId: id,
 			isConsecutive: isConsecutive && !isGapConfirmed,
 			refusedBefore: undefined,
@@ -90,6 +89,7 @@
 			steps: steps + (position === POSITIONS.step ? 1 : 0),
 			gaps: gaps + (isGap ? 1 : 0),
 			isGapConfirmed: order.isGapConfirmed || isGapConfirmed,
+			refusedNumber: undefined,
 		},
 		fault: undefined,
 	};
--- a/packages/daemon/src/direct/createEventSplitter.ts
+++ b/packages/daemon/src/direct/createEventSplitter.ts
@@ -117,7 +117,7 @@
 			}
 
 			// What came before holds no end of an event, but may hold all of one but its last byte.
-			let searchStart = Math.max(blockStart, joinedFrom - (2 * lineEnd.end.length));
+			let searchStart = Math.max(blockStart, joinedFrom - lineEnd.blockEnd.length);
 			let passedLength = 0;
 			let refusal: string | undefined;
 			for (let end = findBlockEnd(joined, lineEnd, {blockStart, searchStart}); end !== -1; end = findBlockEnd(joined, lineEnd, {blockStart, searchStart})) {
@@ -166,11 +166,12 @@
  *
  * @returns -1 if it has not come yet
  */
-function findBlockEnd(bytes: Buffer, {end}: LineEnd, {blockStart, searchStart}: {blockStart: number; searchStart: number}): number {
-	if (bytes.toString('latin1', blockStart, blockStart + end.length) === end) {
+function findBlockEnd(bytes: Buffer, {end, blockEnd}: LineEnd, {blockStart, searchStart}: {blockStart: number; searchStart: number}): number {
+	const isBlankLine = bytes[blockStart] === end.codePointAt(0) && (end.length === 1 || bytes[blockStart + 1] === end.codePointAt(1));
+	if (isBlankLine) {
 		return blockStart + end.length;
 	}
 
-	const at = bytes.indexOf(end.repeat(2), searchStart);
-	return at === -1 ? -1 : at + (2 * end.length);
+	const at = bytes.indexOf(blockEnd, searchStart);
+	return at === -1 ? -1 : at + blockEnd.length;
 }
--- a/packages/daemon/src/direct/lineEnds.ts
+++ b/packages/daemon/src/direct/lineEnds.ts
@@ -3,15 +3,17 @@
 /** How the lines of a stream end. */
 export type LineEnd = {
 	readonly end: string;
+	/** End of a line and of the blank line behind it. */
+	readonly blockEnd: string;
 	/** Line break of another kind. A carriage return at the end of what was read may be the first half of an end. */
 	readonly foreign: RegExp;
 };
 
 /** Line ends of the specification of server-sent events. */
 export const LINE_ENDS = {
-	lf: {end: '\n', foreign: /\r/v},
-	crLf: {end: '\r\n', foreign: /(?<=[^\r])\n|\r(?!\n|$)/v},
-	cr: {end: '\r', foreign: /\n/v},
+	lf: {end: '\n', blockEnd: '\n\n', foreign: /\r/v},
+	crLf: {end: '\r\n', blockEnd: '\r\n\r\n', foreign: /(?<=[^\r])\n|\r(?!\n|$)/v},
+	cr: {end: '\r', blockEnd: '\r\r', foreign: /\n/v},
 } as const satisfies Readonly<Record<string, LineEnd>>;
 
 /**
--- a/packages/daemon/src/direct/parseEvent.ts
+++ b/packages/daemon/src/direct/parseEvent.ts
@@ -27,10 +27,8 @@
 
 /** What is told of a stream whose lines do not all end in the same way. */
 export const MIXED_LINE_ENDS = 'a line break of another kind than before';
-/** Fields of the specification of server-sent events that give no event without others. */
-const SILENT_FIELDS: ReadonlySet<string> = new Set(['event', 'retry']);
-/** Fields that make an event. */
-const EVENT_FIELDS: ReadonlySet<string> = new Set(['id', 'data']);
+/** Fields of the specification of server-sent events. */
+const STANDARD_FIELDS: ReadonlySet<string> = new Set(['id', 'data', 'event', 'retry']);
 /** Control characters of ASCII other than a tab and a line break. */
 const CONTROL_CHARACTER = /[\p{Cc}--[\t\n\r\u0080-\u009F]]/v;
 
@@ -53,27 +51,36 @@
 		return refuseBlock('a control character');
 	}
 
-	const fields = text.split(lineEnd.end).filter(line => line !== '' && !line.startsWith(':')).map(line => splitLine(line));
-	if (!fields.every(([name]) => EVENT_FIELDS.has(name) || SILENT_FIELDS.has(name) || extraFields.has(name))) {
-		return refuseBlock('a line that is no known field');
+	let id: string | undefined;
+	let hasData = false;
+	let hasFields = false;
+	let hasExtraFields = false;
+	for (const line of text.split(lineEnd.end)) {
+		if (line === '' || line.startsWith(':')) {
+			continue;
+		}
+
+		const [name, value] = splitLine(line);
+		const isExtra = extraFields.has(name);
+		if (!(isExtra || STANDARD_FIELDS.has(name))) {
+			return refuseBlock('a line that is no known field');
+		}
+
+		if (name === 'id' && id !== undefined) {
+			return refuseBlock('an event with two identifiers');
+		}
+
+		id = name === 'id' ? value : id;
+		hasData ||= name === 'data';
+		hasExtraFields ||= isExtra;
+		hasFields = true;
 	}
 
-	if (fields.every(([name]) => SILENT_FIELDS.has(name))) {
-		return {kind: BLOCK_KINDS.silent, hasFields: fields.length > 0};
+	if (id === undefined) {
+		return hasData || hasExtraFields ? refuseBlock('an event without an identifier') : {kind: BLOCK_KINDS.silent, hasFields};
 	}
 
-	return parseFields(fields);
-}
-
-type Field = readonly [name: string, value: string];
-
-function parseFields(fields: readonly Field[]): EventBlock {
-	const [id, ...furtherIds] = fields.filter(([name]) => name === 'id').map(([, value]) => value);
-	if (id === undefined || furtherIds.length > 0) {
-		return refuseBlock(id === undefined ? 'an event without an identifier' : 'an event with two identifiers');
-	}
-
-	if (!fields.some(([name]) => name === 'data')) {
+	if (!hasData) {
 		return refuseBlock('an event without data');
 	}
 
@@ -85,7 +92,7 @@
 	return {kind: BLOCK_KINDS.refused, refusal};
 }
 
-function splitLine(line: string): Field {
+function splitLine(line: string): readonly [name: string, value: string] {
 	const colon = line.indexOf(':');
-	return colon === -1 ? ['', ''] : [line.slice(0, colon), line.slice(colon + 1).replace(/^ /v, '')];
+	return colon === -1 ? ['', ''] : [line.slice(0, colon), line.slice(line[colon + 1] === ' ' ? colon + 2 : colon + 1)];
 }
