--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -9,7 +9,7 @@
 } from '@damaskspool/runtime';
 import {ERROR_CODES} from '@damaskspool/shared';
 import {createOperationsHandler} from '../createOperationsHandler.js';
-import {CLOSE_REASONS, recordCloseCause} from './closeReasons.js';
+import {CLOSE_REASONS, destroyAnswer} from './closeReasons.js';
 import {createArrivalMonitor} from './createArrivalMonitor.js';
 import {createCallEffects} from './createCallEffects.js';
 import {createCallerServer, refuseUnread} from './createCallerServer.js';
@@ -28,6 +28,7 @@
 import {createMonotonicWallClock} from './createMonotonicWallClock.js';
 import {createSuspensionDetector} from './createSuspensionDetector.js';
 import {createTargetPools} from './createTargetPools.js';
+import {createTargetWatches} from './createTargetWatches.js';
 import {type DirectSettings, directSettingsSchema} from './directSettings.js';
 
 /** Options of {@link createDirectEntry}. */
@@ -94,6 +95,7 @@
 		},
 	});
 	const pools = createTargetPools({readGovernor});
+	const targetWatches = createTargetWatches({hasUnread: pools.hasUnread});
 	const connections = createConnectionTracker({
 		onCut({requestId, ...cut}) {
 			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"${cut.reason === undefined ? '' : `,reason="${cut.reason}"`}}`);
@@ -130,11 +132,7 @@
 			if (isReading) {
 				refuseUnread(response, ports);
 			} else {
-				if (response.socket !== null) {
-					recordCloseCause(response.socket, {reason: CLOSE_REASONS.memory});
-				}
-
-				response.destroy();
+				destroyAnswer(response, {reason: CLOSE_REASONS.memory});
 			}
 		},
 	});
@@ -184,10 +182,15 @@
 		ports,
 		metrics,
 		pools,
+		targetWatches,
 		memoryLedger,
 		computeMaxConnections,
 		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
 		isLimited: targetId => state.placement.targets.get(targetId)?.limit !== undefined,
+		isLeaving({targetId, startedAtMs}) {
+			const record = state.placement.targets.get(targetId)?.record;
+			return record === undefined || (record.startedAtMs === startedAtMs && record.isLeaving);
+		},
 		readWallClock,
 		dispatch(event) {
 			loop.dispatch(event);
@@ -388,6 +391,7 @@
 			peerDirectory.stop();
 			readinessServer.close();
 			peerLink.close();
+			targetWatches.close();
 			await Promise.all([pools.close(), ports.close()]);
 		},
 	};
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -1,8 +1,8 @@
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, decideAnswerUse, isNotRunStatus, SENT_FORMS,
-	type SendServingAttempt, type SentForm, type StreamForm, type TargetNotice,
+	ANSWER_FRAMINGS, ANSWER_USES, type AnswerFraming, type AnswerUse, ATTEMPT_RESULTS, type AttemptResult, CLOSED_ANSWER_USES, type CloseSigns,
+	decideAnswerUse, decideClosedAnswer, isNotRunStatus, SENT_FORMS, type SendServingAttempt, type SentForm, type StreamForm, type TargetNotice,
 } from '@damaskspool/core';
 import {
 	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
@@ -11,6 +11,7 @@
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {createEventSplitter} from './createEventSplitter.js';
 import {createForwarder} from './createForwarder.js';
+import {type TargetWatch} from './createTargetWatches.js';
 
 /** Result of an attempt, as the reducer receives it. */
 export type AttemptEnd = {
@@ -22,6 +23,8 @@
 	readonly detail: string;
 	/** Undefined if no answer came. */
 	readonly framing: AnswerFraming | undefined;
+	/** Undefined unless the answer ended with its connection. */
+	readonly closeSigns: CloseSigns | undefined;
 	readonly lastEventId: string | undefined;
 	/** How the target has numbered events; undefined outside of streams. */
 	readonly streamForm: StreamForm | undefined;
@@ -38,8 +41,10 @@
 	readonly isHandlingReset: () => boolean;
 	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
 	readonly isPaused: () => boolean;
-	/** Checks whether the target accepts connections; undefined if that is not known. */
-	readonly isTargetListening: () => Promise<boolean | undefined>;
+	/** Watches the target while an answer of it is under way that ends with its connection. */
+	readonly watchTarget: () => TargetWatch;
+	/** Whether the target has announced that it stops, or its registration was removed. */
+	readonly isTargetLeaving: () => boolean;
 	/** Called when bytes of the connection were part of a response. */
 	readonly onProgress: () => void;
 	/** Records the head of an answer. Returns whether it is the first of its connection. */
@@ -81,13 +86,19 @@
  * @returns a function that cancels the attempt; no callback of `options` is called after that
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
-	const {attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, isTargetListening, onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded} = options;
+	const {
+		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, watchTarget, isTargetLeaving,
+		onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded,
+	} = options;
 	const {response} = handle;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isSent = false;
 	let hasBegun = false;
 	let framing: AnswerFraming | undefined;
+	let watch: TargetWatch | undefined;
+	let closeSigns: CloseSigns | undefined;
+	let {isCloseDoubtful} = attempt;
 	let discardedBytes = 0;
 	let discardedPieces = 0;
 	let sink: BodySink | undefined;
@@ -97,9 +108,11 @@
 		held: handle.held,
 		memoryLedger,
 		pause() {
+			watch?.setPaused(true);
 			controller?.pause();
 		},
 		resume() {
+			watch?.setPaused(false);
 			controller?.resume();
 		},
 	});
@@ -110,6 +123,7 @@
 		}
 
 		isFinished = true;
+		watch?.stop();
 		forwarder.flush();
 		handle.held.bufferedBytes = handle.bufferedResponse?.body.length ?? 0;
 		if (attempt.isPrefillOnly) {
@@ -118,7 +132,7 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail, framing, lastEventId: handle.lastEventId, streamForm: getStreamForm?.(),
+			result, isResponseStarted: response.headersSent, hasRun, detail, framing, closeSigns, lastEventId: handle.lastEventId, streamForm: getStreamForm?.(),
 		});
 	};
 
@@ -167,6 +181,7 @@
 		}
 
 		isFinished = true;
+		watch?.stop();
 		onPrefillEnded(handleId, ATTEMPT_RESULTS.answered);
 	});
 
@@ -223,7 +238,7 @@
 					forwarder.push(rest);
 				}
 
-				if (framing === ANSWER_FRAMINGS.connection && attempt.isCloseDoubtful) {
+				if (framing === ANSWER_FRAMINGS.connection && isCloseDoubtful) {
 					finish(ATTEMPT_RESULTS.closed, 'the stream ended with its connection between events');
 					return;
 				}
@@ -319,12 +334,15 @@
 
 	/** Ends a response that ended with its connection. A target whose process has ended closes its connections as well. */
 	const endClosedResponse = async () => {
-		const isListening = await isTargetListening();
+		const signs = await watch!.findSigns();
 		if (isFinished) {
 			return;
 		}
 
-		if (isListening === false) {
+		closeSigns = {...signs, isLeaving: isTargetLeaving()};
+		const use = decideClosedAnswer(closeSigns, attempt);
+		isCloseDoubtful ||= use === CLOSED_ANSWER_USES.doubtful;
+		if (use === CLOSED_ANSWER_USES.broken) {
 			finish(ATTEMPT_RESULTS.unknown, 'the target ended with the connection of its response');
 		} else {
 			sink?.end();
@@ -356,6 +374,7 @@
 
 			onProgress();
 			framing = findFraming(status, headers);
+			watch = framing === ANSWER_FRAMINGS.connection ? watchTarget() : undefined;
 			receiveHead(status, headers, isFirstAnswer);
 		},
 		onResponseData(started, chunk) {
@@ -389,6 +408,7 @@
 	});
 	return () => {
 		isFinished = true;
+		watch?.stop();
 		forwarder.flush();
 		controller?.abort(new Error('the attempt was cancelled'));
 	};
