--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -132,7 +132,14 @@
 		}
 
 		onEnded({
-			result, isResponseStarted: response.headersSent, hasRun, detail, framing, closeSigns, lastEventId: handle.lastEventId, streamForm: getStreamForm?.(),
+			result,
+			isResponseStarted: response.headersSent,
+			hasRun,
+			detail,
+			framing,
+			closeSigns,
+			lastEventId: handle.lastEventId,
+			streamForm: getStreamForm?.(),
 		});
 	};
 
@@ -334,12 +341,14 @@
 
 	/** Ends a response that ended with its connection. A target whose process has ended closes its connections as well. */
 	const endClosedResponse = async () => {
+		// A registration that is removed later may be that of a process that has ended.
+		const isLeaving = isTargetLeaving();
 		const signs = await watch!.findSigns();
 		if (isFinished) {
 			return;
 		}
 
-		closeSigns = {...signs, isLeaving: isTargetLeaving()};
+		closeSigns = {...signs, isLeaving};
 		const use = decideClosedAnswer(closeSigns, attempt);
 		isCloseDoubtful ||= use === CLOSED_ANSWER_USES.doubtful;
 		if (use === CLOSED_ANSWER_USES.broken) {
