Count the end of a stream as usual for its target only where another one has confirmed it

What callers would see: a target whose streams were cut off between events three times, while no other target could tell what was left, was not doubted any more, and its next cut streams passed as whole without a question. A target that had only refused to confirm was credited too. Cause: the end that counts without a confirmation was recorded like a confirmed one, for both. Change: it is not recorded.

--- a/packages/core/src/serving/__tests__/streamEnds.test.ts
+++ b/packages/core/src/serving/__tests__/streamEnds.test.ts
@@ -102,6 +102,19 @@
 		assert.deepEqual([hasEffect(end, 'call.refuse'), hasEffect(end, 'call.complete')], [true, false]);
 	});
 
+	for (const result of FAILED_RESULTS) {
+		it(`is not counted as usual where the target that was asked gave "${result}"`, () => {
+			const {state, effects: closedEffects} = createClosedStream();
+			let effects = closedEffects;
+			for (let send = findSend(effects); send !== undefined; send = findSend(effects)) {
+				effects = reduceServing(state, createEnd(send.attemptId, result));
+			}
+
+			assert.ok(hasEffect(effects, 'call.complete'));
+			assert.deepEqual([...state.placement.targets.values()].map(({streamEnds}) => streamEnds.closed), [0, 0, 0, 0]);
+		});
+	}
+
 	it('is not asked for again at a target that ends all its streams so', () => {
 		const {state} = createClosedStream();
 		for (const target of state.placement.targets.values()) {
--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -2,7 +2,7 @@
 import {clearSuspicion} from './crashHandlers.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
-import {findClosedEnd, recordStreamEnd} from './streamEnds.js';
+import {findClosedEnd} from './streamEnds.js';
 
 /** Why a stream ended that another target was asked to confirm, beside the codes of errors that forbid to ask one. */
 export const CONFIRMATION_ENDS = {
@@ -64,7 +64,6 @@
 /** Ends a stream as its target has ended it, although no other target has confirmed that. The caller has all of its events. */
 export function completeClosedCall(state: ServingState, call: ServingCall, {nowMs, confirmation}: {readonly nowMs: number; readonly confirmation: string}): readonly ServingEffect[] {
 	const answer = findClosedEnd(call)!;
-	recordStreamEnd(state, call, answer);
 	return [
 		...clearSuspicion(state, call, nowMs),
 		...endCall(state, call, {
