Take no part of a stream for whole because its target has announced its leave

What callers would see: a target that has announced its leave, still listens and is killed within the first packet of a stream without a length: the part passed as whole. Cause: an announced leave alone let the close count, where no silent connection stood yet.

--- a/packages/core/src/request/closedAnswer.ts
+++ b/packages/core/src/request/closedAnswer.ts
@@ -35,18 +35,24 @@
 /** Value of {@link CLOSED_ANSWER_USES}. */
 export type ClosedAnswerUse = typeof CLOSED_ANSWER_USES[keyof typeof CLOSED_ANSWER_USES];
 
-/**
- * Decides what an answer counts as that ended with its connection.
- *
- * @param options - `isResumable` tells whether another target can send what is left
- */
-export function decideClosedAnswer({isListening, hasOutlivedRefusal, witness, isLeaving}: CloseSigns, {isResumable}: {readonly isResumable: boolean}): ClosedAnswerUse {
+/** Form of an answer. */
+type AnswerForm = {
+	/** Whether another target can send what is left. */
+	readonly isResumable: boolean;
+	/** Whether it consists of events. */
+	readonly isStream: boolean;
+};
+
+/** Decides what an answer counts as that ended with its connection. */
+export function decideClosedAnswer({isListening, hasOutlivedRefusal, witness, isLeaving}: CloseSigns, {isResumable, isStream}: AnswerForm): ClosedAnswerUse {
 	if (isListening !== false || witness === WITNESS_STATES.open) {
 		return CLOSED_ANSWER_USES.whole;
 	}
 
+	// A stream goes on elsewhere or is taken up by its caller, so that an announced leave alone does not make a part of it whole.
+	const mayLiveUnseen = hasOutlivedRefusal || (isLeaving && !isStream);
 	// The connections of a process that ends close together.
-	if (witness === WITNESS_STATES.closed || !(hasOutlivedRefusal || isLeaving)) {
+	if (witness === WITNESS_STATES.closed || !mayLiveUnseen) {
 		return CLOSED_ANSWER_USES.broken;
 	}
 
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -349,7 +349,7 @@
 		}
 
 		closeSigns = {...signs, isLeaving};
-		const use = decideClosedAnswer(closeSigns, attempt);
+		const use = decideClosedAnswer(closeSigns, {isResumable: attempt.isResumable, isStream: getStreamForm !== undefined});
 		isCloseDoubtful ||= use === CLOSED_ANSWER_USES.doubtful;
 		if (use === CLOSED_ANSWER_USES.broken) {
 			finish(ATTEMPT_RESULTS.unknown, 'the target ended with the connection of its response');
