Remove a condition on ends of streams that never holds, and give a function its file

Cause: the read-through found that recordStreamEnd compared the target that closed a stream with the one that answered after it, which the closed one is excluded from; that it described an end in a type of its own beside that of attempt.ended; and that trackCallerEnd.ts held a second function, which had come from createCallerServer.ts. Change: the condition is gone, the type is taken from the event, waitForPendingDisconnects has a file of its own. No behaviour changes.

--- a/packages/core/src/serving/streamEnds.ts
+++ b/packages/core/src/serving/streamEnds.ts
@@ -6,10 +6,11 @@
 import {type PlacedTarget} from '../placement/placementState.js';
 import {ANSWER_FRAMINGS, type AnswerFraming} from '../request/answerFraming.js';
 import {computePatienceMs} from './computePatienceMs.js';
+import {type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
 
 /** How an answer was framed, and the last event that its caller has. */
-type StreamEnd = {readonly framing?: AnswerFraming | undefined; readonly lastEventId?: string | undefined};
+type StreamEnd = Pick<Extract<ServingEvent, {type: 'attempt.ended'}>, 'framing' | 'lastEventId'>;
 
 /** The end of a stream that another target is asked to confirm. */
 export type ClosedEnd = {
@@ -68,7 +69,7 @@
 	}
 
 	if (framing === ANSWER_FRAMINGS.connection) {
-		attempt!.target.streamEnds.closed += closedEnd?.target === attempt?.target ? 0 : 1;
+		attempt!.target.streamEnds.closed += 1;
 	} else if (framing !== undefined) {
 		attempt!.target.streamEnds.delimited += 1;
 		state.servicesWithDelimitedStreams.add(serviceId);
--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -18,7 +18,8 @@
 import {type ConnectionTracker, REQUEST_STAGES, type RequestStage} from './createConnectionTracker.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type HeldRequest} from './createRequestReader.js';
-import {trackCallerEnd, waitForPendingDisconnects} from './trackCallerEnd.js';
+import {trackCallerEnd} from './trackCallerEnd.js';
+import {waitForPendingDisconnects} from './waitForPendingDisconnects.js';
 import {writeRefusal, writeUnparsedRefusal} from './writeRefusal.js';
 
 /** Options of {@link createCallerServer}. */
