Hold a silent connection to a target from the time that it announces its stop

Cause: the signs of a target that has stopped listening were gathered only from the head of an answer on. A target that stops listening resets silent connections that it has not accepted yet, and the next one was opened a second later. Without a connection and without a refusal the end counted as that of a killed process.

Change: a watch begins with the request. Once the target announces its stop while it listens, a silent connection is held to it; the first one that is lost is replaced at once, so that a refusal is known at once.

--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -2,7 +2,7 @@
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
-import {createTargetWatches} from '../createTargetWatches.js';
+import {createTargetWatches, type TargetWatches} from '../createTargetWatches.js';
 
 const SETTLE_MS = 100;
 /** Longer than a process needs to end all of its connections. */
@@ -46,10 +46,17 @@
 	};
 }
 
+/** Begins a watch of an answer that ends with its connection. */
+function beginHeld(watches: TargetWatches, address: string) {
+	const watch = watches.begin(address);
+	watch.holdConnection();
+	return watch;
+}
+
 describe('watches of a target', () => {
 	it('share one connection, and close it with the last of them and at the stop', async context => {
 		const {address, sockets, watches} = await startTarget(context);
-		const [first, second] = [watches.begin(address), watches.begin(address)];
+		const [first, second] = [beginHeld(watches, address), beginHeld(watches, address)];
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 1);
 		first.stop();
@@ -58,7 +65,7 @@
 		second.stop();
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 0);
-		watches.begin(address);
+		beginHeld(watches, address);
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 1);
 		watches.close();
@@ -72,7 +79,7 @@
 		server.on('connection', () => {
 			connectionCount += 1;
 		});
-		watches.begin(address).stop();
+		beginHeld(watches, address).stop();
 		await wait(SETTLE_MS);
 		assert.equal(connectionCount, 0);
 	});
@@ -85,7 +92,7 @@
 	] as const) {
 		it(`tell that the connection ${name}`, async context => {
 			const {address, server, watches, closeSockets} = await startTarget(context);
-			const watch = watches.begin(address);
+			const watch = beginHeld(watches, address);
 			await wait(SETTLE_MS);
 			server.close();
 			if (isClosed) {
@@ -101,8 +108,8 @@
 	it('take a refusal for outlived only if the answer was read for a while after it', async context => {
 		const {address, server, watches, setUnread} = await startTarget(context);
 		server.close();
-		const outlived = watches.begin(address);
-		const [early, paused] = [watches.begin(address), watches.begin(address)];
+		const outlived = beginHeld(watches, address);
+		const [early, paused] = [beginHeld(watches, address), beginHeld(watches, address)];
 		paused.setPaused(true);
 		await wait(SETTLE_MS);
 		const signs = [await early.findSigns()];
@@ -110,9 +117,58 @@
 		paused.setPaused(false);
 		signs.push(await outlived.findSigns(), await paused.findSigns());
 		setUnread(true);
-		const unread = watches.begin(address);
+		const unread = beginHeld(watches, address);
 		await wait(OUTLIVED_MS);
 		signs.push(await unread.findSigns());
 		assert.deepEqual(signs.map(({hasOutlivedRefusal}) => hasOutlivedRefusal), [false, true, false, false]);
 	});
+
+	it('learn at once that a target listens no more which resets their connection, and outlive that', async context => {
+		const {address, server, watches, closeSockets} = await startTarget(context);
+		const watch = beginHeld(watches, address);
+		await wait(SETTLE_MS);
+		server.close();
+		closeSockets();
+		await wait(OUTLIVED_MS);
+		const {isListening, hasOutlivedRefusal} = await watch.findSigns();
+		assert.deepEqual([isListening, hasOutlivedRefusal], [false, true]);
+	});
+
+	it('replace a connection that the target closes at most twice a second', async context => {
+		const {address, server, watches} = await startTarget(context);
+		let connectionCount = 0;
+		server.on('connection', (socket: Socket) => {
+			connectionCount += 1;
+			socket.destroy();
+		});
+		beginHeld(watches, address);
+		await wait(OUTLIVED_MS);
+		assert.equal(connectionCount, 2);
+	});
+
+	it('hold a connection before the answer once the target announces that it stops', async context => {
+		const {address, sockets, server, watches} = await startTarget(context);
+		let isLeaving = false;
+		const options = {isLeaving: () => isLeaving};
+		const watch = watches.begin(address, options);
+		watches.holdLeaving();
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 0);
+		isLeaving = true;
+		watches.holdLeaving();
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+		server.close();
+		const {isListening, witness} = await watch.findSigns();
+		assert.deepEqual([isListening, witness], [false, 'open']);
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 0);
+	});
+
+	it('hold a connection from the start of a request to a target that leaves', async context => {
+		const {address, sockets, watches} = await startTarget(context);
+		watches.begin(address, {isLeaving: () => true});
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+	});
 });
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -96,7 +96,7 @@
 					recordAnswer: pools.recordAnswer,
 					recordRefusal: pools.recordRefusal,
 					isPaused: () => isPaused(target.targetId),
-					watchTarget: () => targetWatches.begin(target.address),
+					watchTarget: () => targetWatches.begin(target.address, {isLeaving: () => isLeaving(target)}),
 					isTargetLeaving: () => isLeaving(target),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -249,6 +249,7 @@
 					updateEvennessMetrics(metrics, subject, detail);
 				} else if (name === 'targets.applied') {
 					pools.retain(new Set(state.placement.targets.keys()));
+					targetWatches.holdLeaving();
 				} else if (name === 'configuration.applied' && state.configuration !== undefined) {
 					callerServer.applyLimits(state.configuration.limits);
 				}
--- a/packages/daemon/src/direct/createTargetWatches.ts
+++ b/packages/daemon/src/direct/createTargetWatches.ts
@@ -5,8 +5,10 @@
 /** Signs that a watch finds by itself. */
 export type WatchedSigns = Omit<CloseSigns, 'isLeaving'>;
 
-/** Watches whether the process of a target lives while an answer of it is under way that ends with its connection. */
+/** Watches whether the process of a target lives while a request to it is under way. */
 export type TargetWatch = {
+	/** Opens a silent connection to the target, because its answer ends with its connection. */
+	readonly holdConnection: () => void;
 	/** Records whether the connection of the answer is read. While it is not, its end can not be seen. */
 	readonly setPaused: (isPaused: boolean) => void;
 	/** Ends the watch because the answer has ended, and returns what it shows. */
@@ -17,8 +19,13 @@
 
 /** Watches of all targets. Answers of one target share one silent connection. */
 export type TargetWatches = {
-	/** @param address - `ip:port` */
-	readonly begin: (address: string) => TargetWatch;
+	/**
+	 * @param address - `ip:port`
+	 * @param options - `isLeaving` tells whether the target has announced that it stops
+	 */
+	readonly begin: (address: string, options?: {readonly isLeaving?: () => boolean}) => TargetWatch;
+	/** Opens silent connections to targets that have announced that they stop and still have requests, while they listen. */
+	readonly holdLeaving: () => void;
 	/** Records that a target refused a connection. */
 	readonly recordRefusal: (address: string) => void;
 	/** Closes all connections of watches. */
@@ -32,6 +39,7 @@
 };
 
 type Watcher = {
+	readonly isLeaving: () => boolean;
 	hasOutlivedRefusal: boolean;
 	/** Whether the silent connection has closed, and it is not known yet whether the process lives on. */
 	isWitnessLost: boolean;
@@ -47,13 +55,15 @@
 	socket: Socket | undefined;
 	isHeld: boolean;
 	retryTimer: NodeJS.Timeout | undefined;
+	/** Monotonic time. */
+	lostAtMs: number;
 };
 
 /** Time within which the ends of all connections of a process that has ended arrive, also when a packet was lost once. Callers wait for it. */
 const PROCESS_END_MS = 250;
 /** Time for a target to accept or refuse the silent connection: many round trips. */
 const CONNECT_TIMEOUT_MS = 400;
-/** Shortest time between two silent connections to a target, which may close idle ones. */
+/** Shortest time between two replacements of a silent connection to a target, which may close idle ones. */
 const RETRY_MS = 1000;
 
 /** Creates an empty set of watches. */
@@ -102,15 +112,19 @@
 		}
 	};
 
-	const scheduleConnection = (check: Check) => {
+	/** Opens the next silent connection: at once for the first that was lost, since a target that stops listening resets those that it has not accepted yet. */
+	const scheduleConnection = (check: Check, {wasHeld}: {readonly wasHeld: boolean}) => {
+		const nowMs = performance.now();
+		const isFirstLoss = wasHeld && nowMs - check.lostAtMs >= RETRY_MS;
+		check.lostAtMs = wasHeld ? nowMs : check.lostAtMs;
 		check.retryTimer = setTimeout(() => {
 			check.retryTimer = undefined;
 			connectCheck(check);
-		}, RETRY_MS);
+		}, isFirstLoss ? 0 : RETRY_MS);
 		check.retryTimer.unref();
 	};
 
-	/** Records that the silent connection is gone. Another one is opened later while it is needed, unless the target listens no more. */
+	/** Records that the silent connection is gone. Another one is opened while it is needed, unless the target listens no more. */
 	const dropConnection = (check: Check, socket: Socket, {isRefused = false}: {isRefused?: boolean} = {}) => {
 		if (check.socket !== socket) {
 			return;
@@ -132,7 +146,7 @@
 		}
 
 		if (!isRefused) {
-			scheduleConnection(check);
+			scheduleConnection(check, {wasHeld});
 		}
 	};
 
@@ -184,24 +198,32 @@
 		});
 	};
 
+	const holdConnection = (check: Check, watcher: Watcher) => {
+		if (!watcher.isEnded && check.socket === undefined && check.retryTimer === undefined) {
+			connectCheck(check);
+		}
+	};
+
 	return {
 		recordRefusal,
-		begin(address) {
+		begin(address, {isLeaving = () => false} = {}) {
 			const check = checks.get(address) ?? {
-				address, watchers: new Set(), socket: undefined, isHeld: false, retryTimer: undefined,
+				address, watchers: new Set(), socket: undefined, isHeld: false, retryTimer: undefined, lostAtMs: Number.NEGATIVE_INFINITY,
 			};
 			checks.set(address, check);
 			const watcher: Watcher = {
-				hasOutlivedRefusal: false, isWitnessLost: false, isPaused: false, wasPaused: false, isEnded: false,
+				isLeaving, hasOutlivedRefusal: false, isWitnessLost: false, isPaused: false, wasPaused: false, isEnded: false,
 			};
 			check.watchers.add(watcher);
-			// Most answers arrive with their end and need no silent connection.
-			setImmediate(() => {
-				if (!watcher.isEnded && check.socket === undefined && check.retryTimer === undefined) {
-					connectCheck(check);
-				}
-			});
+			if (isLeaving()) {
+				holdConnection(check, watcher);
+			}
+
 			return {
+				holdConnection() {
+					// Most answers arrive with their end and need no silent connection.
+					setImmediate(holdConnection, check, watcher);
+				},
 				setPaused(isPaused) {
 					watcher.isPaused = isPaused;
 					watcher.wasPaused ||= isPaused;
@@ -219,6 +241,14 @@
 				},
 			};
 		},
+		holdLeaving() {
+			for (const check of checks.values()) {
+				const leaving = [...check.watchers].find(({isLeaving}) => isLeaving());
+				if (leaving !== undefined) {
+					holdConnection(check, leaving);
+				}
+			}
+		},
 		close() {
 			for (const check of checks.values()) {
 				destroyCheck(check);
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -41,7 +41,7 @@
 	readonly isHandlingReset: () => boolean;
 	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
 	readonly isPaused: () => boolean;
-	/** Watches the target while an answer of it is under way that ends with its connection. */
+	/** Watches the target while the request is at it. */
 	readonly watchTarget: () => TargetWatch;
 	/** Whether the target has announced that it stops, or its registration was removed. */
 	readonly isTargetLeaving: () => boolean;
@@ -374,6 +374,8 @@
 			}
 
 			isSent = true;
+			watch?.stop();
+			watch = watchTarget();
 		},
 		onResponseStart(_started, status, headers) {
 			const isFirstAnswer = status >= 200 && recordAnswer();
@@ -383,7 +385,10 @@
 
 			onProgress();
 			framing = findFraming(status, headers);
-			watch = framing === ANSWER_FRAMINGS.connection ? watchTarget() : undefined;
+			if (framing === ANSWER_FRAMINGS.connection) {
+				watch?.holdConnection();
+			}
+
 			receiveHead(status, headers, isFirstAnswer);
 		},
 		onResponseData(started, chunk) {
