Test a busy target that stops listening before it accepts a silent connection

Cause: the test of the fix reset accepted connections; what the soak supposes is a target whose loop stands still, so that the kernel resets what waits. Change: such a target, in a thread of its own. Result: fails on the code before the fix (watch begun at the head, as there), passes now; 12 of 12 of the file pass.

--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import {createTargetWatches, type TargetWatches} from '../createTargetWatches.js';
 
 const SETTLE_MS = 100;
@@ -46,6 +48,34 @@
 	};
 }
 
+/** A target whose loop stands still for a while when it is told to, and which stops listening before it accepts what has connected meanwhile. */
+const BUSY_TARGET = `
+const {parentPort} = require('node:worker_threads');
+const server = require('node:net').createServer(socket => {
+	socket.resume();
+});
+server.listen(0, '127.0.0.1', () => {
+	parentPort.postMessage(server.address().port);
+});
+parentPort.on('message', standsStillMs => {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, standsStillMs);
+	server.close();
+});
+`;
+
+/** Starts a target in a thread of its own. Returns its address and a function that makes it stand still and then stop listening. */
+async function startBusyTarget(context: TestContext) {
+	const worker = new Worker(BUSY_TARGET, {eval: true});
+	context.after(async () => worker.terminate());
+	const [port] = await once(worker, 'message') as [number];
+	return {
+		address: `127.0.0.1:${port}`,
+		stopAfterStandstill() {
+			worker.postMessage(SETTLE_MS);
+		},
+	};
+}
+
 /** Begins a watch of an answer that ends with its connection. */
 function beginHeld(watches: TargetWatches, address: string) {
 	const watch = watches.begin(address);
@@ -123,6 +153,20 @@
 		assert.deepEqual(signs.map(({hasOutlivedRefusal}) => hasOutlivedRefusal), [false, true, false, false]);
 	});
 
+	it('outlive that a busy target stops listening before it has accepted their connection', async context => {
+		const {address, stopAfterStandstill} = await startBusyTarget(context);
+		const watches = createTargetWatches({hasUnread: () => false});
+		context.after(() => {
+			watches.close();
+		});
+		stopAfterStandstill();
+		await wait(SETTLE_MS / 4);
+		const watch = beginHeld(watches, address);
+		await wait(SETTLE_MS + OUTLIVED_MS);
+		const {isListening, hasOutlivedRefusal} = await watch.findSigns();
+		assert.deepEqual([isListening, hasOutlivedRefusal], [false, true]);
+	});
+
 	it('learn at once that a target listens no more which resets their connection, and outlive that', async context => {
 		const {address, server, watches, closeSockets} = await startTarget(context);
 		const watch = beginHeld(watches, address);
