Let a silent connection tell only what it shows behind the head of an answer

And since the signs are gathered at all: an answer that ended less than 250 ms before the limit of its caller was cut at the limit, while the entry waited for the signs.

Cause: a watch that begins with the request took what it saw before the answer for a sign about its end; the time for signs did not end before the limit.

Change: refusals count from the head of the answer on, and so does the end of the silent connection unless both came together. Signs are told 50 ms before the limit at the latest. One observation of a refusal goes on at a time, a pause in between is not forgotten, listeners are removed, and a target that has refused is not asked again before an answer begins.

--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
+import process from 'node:process';
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
@@ -30,7 +31,13 @@
 	};
 
 	let unread = false;
-	const watches = createTargetWatches({hasUnread: () => unread});
+	let unreadChecks = 0;
+	const watches = createTargetWatches({
+		hasUnread() {
+			unreadChecks += 1;
+			return unread;
+		},
+	});
 	context.after(() => {
 		watches.close();
 		closeSockets();
@@ -45,6 +52,7 @@
 		setUnread(isUnread: boolean) {
 			unread = isUnread;
 		},
+		countUnreadChecks: () => unreadChecks,
 	};
 }
 
@@ -79,7 +87,7 @@
 /** Begins a watch of an answer that ends with its connection. */
 function beginHeld(watches: TargetWatches, address: string) {
 	const watch = watches.begin(address);
-	watch.holdConnection();
+	watch.beginAnswer();
 	return watch;
 }
 
@@ -215,4 +223,103 @@
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 1);
 	});
+
+	for (const gapMs of [50, 100, 200]) {
+		it(`forget a connection that closed ${gapMs} ms before the answer began`, async context => {
+			const {address, server, watches, closeSockets} = await startTarget(context);
+			const watch = watches.begin(address, {isLeaving: () => true});
+			await wait(SETTLE_MS);
+			server.close();
+			closeSockets();
+			await wait(gapMs);
+			watch.beginAnswer();
+			const {isListening, hasOutlivedRefusal, witness} = await watch.findSigns();
+			assert.deepEqual([isListening, hasOutlivedRefusal, witness], [false, false, 'none']);
+		});
+	}
+
+	it('take no refusal for outlived that came before the answer began', async context => {
+		const {address, server, watches} = await startTarget(context);
+		server.close();
+		const watch = watches.begin(address, {isLeaving: () => true});
+		await wait(OUTLIVED_MS);
+		watch.beginAnswer();
+		const {hasOutlivedRefusal} = await watch.findSigns();
+		assert.equal(hasOutlivedRefusal, false);
+	});
+
+	it('take a refusal for outlived only if nothing paused the answer since, whatever is refused in between', async context => {
+		const {address, server, watches} = await startTarget(context);
+		server.close();
+		const watch = beginHeld(watches, address);
+		watch.setPaused(true);
+		watches.recordRefusal(address);
+		await wait(2 * SETTLE_MS);
+		watch.setPaused(false);
+		watches.recordRefusal(address);
+		await wait(SETTLE_MS);
+		const {hasOutlivedRefusal} = await watch.findSigns();
+		assert.equal(hasOutlivedRefusal, false);
+	});
+
+	it('hold a connection for a target that leaves although another answer of it is being checked', async context => {
+		const {address, sockets, watches} = await startTarget(context);
+		let isLeaving = false;
+		const options = {isLeaving: () => isLeaving};
+		const first = watches.begin(address, options);
+		watches.begin(address, options);
+		isLeaving = true;
+		const signs = first.findSigns();
+		watches.holdLeaving();
+		await signs;
+		await wait(SETTLE_MS);
+		assert.equal(sockets.size, 1);
+	});
+
+	it('leave no listeners behind many answers that end together', async context => {
+		const {address, server, watches} = await startTarget(context);
+		const warnings: string[] = [];
+		const recordWarning = ({message}: Error) => {
+			warnings.push(message);
+		};
+
+		process.on('warning', recordWarning);
+		const all = Array.from({length: 12}, () => watches.begin(address, {isLeaving: () => true}));
+		await wait(SETTLE_MS);
+		server.close();
+		await Promise.all(all.map(async watch => watch.findSigns()));
+		await wait(SETTLE_MS);
+		process.off('warning', recordWarning);
+		assert.deepEqual(warnings, []);
+	});
+
+	it('check for unread bytes no more often when more connections are refused', async context => {
+		const {address, server, watches, setUnread, countUnreadChecks} = await startTarget(context);
+		server.close();
+		setUnread(true);
+		const watchCount = 24;
+		for (let index = 0; index < watchCount; index += 1) {
+			beginHeld(watches, address);
+		}
+
+		for (let index = 0; index < 8; index += 1) {
+			watches.holdLeaving();
+			watches.recordRefusal(address);
+			await wait(OUTLIVED_MS / 4);
+		}
+
+		// Four observations of 250 ms fit into the time.
+		assert.ok(countUnreadChecks() <= 4 * watchCount, String(countUnreadChecks()));
+	});
+
+	it('tell the signs within the time that is left', async context => {
+		const {address, server, watches} = await startTarget(context);
+		const watch = beginHeld(watches, address);
+		await wait(SETTLE_MS);
+		server.close();
+		const beganAtMs = performance.now();
+		const {witness} = await watch.findSigns(SETTLE_MS);
+		assert.equal(witness, 'open');
+		assert.ok(performance.now() - beganAtMs < 2 * SETTLE_MS);
+	});
 });
--- a/packages/daemon/src/direct/createTargetWatches.ts
+++ b/packages/daemon/src/direct/createTargetWatches.ts
@@ -7,12 +7,16 @@
 
 /** Watches whether the process of a target lives while a request to it is under way. */
 export type TargetWatch = {
-	/** Opens a silent connection to the target, because its answer ends with its connection. */
-	readonly holdConnection: () => void;
+	/** Records that an answer has begun that ends with its connection, and opens a silent connection to the target. */
+	readonly beginAnswer: () => void;
 	/** Records whether the connection of the answer is read. While it is not, its end can not be seen. */
 	readonly setPaused: (isPaused: boolean) => void;
-	/** Ends the watch because the answer has ended, and returns what it shows. */
-	readonly findSigns: () => Promise<WatchedSigns>;
+	/**
+	 * Ends the watch because the answer has ended, and returns what it shows.
+	 *
+	 * @param withinMs - time that is left for the answer
+	 */
+	readonly findSigns: (withinMs?: number) => Promise<WatchedSigns>;
 	/** Ends the watch. */
 	readonly stop: () => void;
 };
@@ -40,11 +44,17 @@
 
 type Watcher = {
 	readonly isLeaving: () => boolean;
+	/** Whether the head of an answer has come that ends with its connection. What came before says nothing about a process that ends behind it. */
+	isAnswering: boolean;
+	isRefusalObserved: boolean;
 	hasOutlivedRefusal: boolean;
 	/** Whether the silent connection has closed, and it is not known yet whether the process lives on. */
 	isWitnessLost: boolean;
+	lossCount: number;
+	/** Monotonic time. */
+	lostAtMs: number;
 	isPaused: boolean;
-	wasPaused: boolean;
+	pauseCount: number;
 	isEnded: boolean;
 };
 
@@ -52,15 +62,22 @@
 type Check = {
 	readonly address: string;
 	readonly watchers: Set<Watcher>;
+	/** Called when the silent connection closes. */
+	readonly closeListeners: Set<() => void>;
 	socket: Socket | undefined;
 	isHeld: boolean;
+	hasRefused: boolean;
 	retryTimer: NodeJS.Timeout | undefined;
 	/** Monotonic time. */
-	lostAtMs: number;
+	replacedAtMs: number;
 };
 
 /** Time within which the ends of all connections of a process that has ended arrive, also when a packet was lost once. Callers wait for it. */
 const PROCESS_END_MS = 250;
+/** Time between two ends of connections of a process that ends, unless a packet is lost. */
+const TOGETHER_MS = 10;
+/** Least time for the end of the silent connection to arrive behind the end of an answer. */
+const MIN_WITNESS_MS = 20;
 /** Time for a target to accept or refuse the silent connection: many round trips. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Shortest time between two replacements of a silent connection to a target, which may close idle ones. */
@@ -72,7 +89,7 @@
 
 	/** Calls back once a process has gone on with an answer for so long that it can not have ended before. */
 	const observe = (address: string, watcher: Watcher, onOutlived: () => void) => {
-		watcher.wasPaused = watcher.isPaused;
+		const {isPaused: wasPaused, pauseCount} = watcher;
 		const timer = setTimeout(() => {
 			// What has arrived while the process stood still is read first.
 			setImmediate(() => {
@@ -80,7 +97,7 @@
 					return;
 				}
 
-				if (watcher.wasPaused || hasUnread(address)) {
+				if (wasPaused || watcher.pauseCount !== pauseCount || hasUnread(address)) {
 					observe(address, watcher, onOutlived);
 				} else {
 					onOutlived();
@@ -91,9 +108,34 @@
 	};
 
 	const recordRefusal = (address: string) => {
-		for (const watcher of checks.get(address)?.watchers ?? []) {
+		const check = checks.get(address);
+		if (check === undefined) {
+			return;
+		}
+
+		check.hasRefused = true;
+		for (const watcher of check.watchers) {
+			if (watcher.isAnswering && !watcher.isRefusalObserved) {
+				watcher.isRefusalObserved = true;
+				observe(address, watcher, () => {
+					watcher.hasOutlivedRefusal = true;
+				});
+			}
+		}
+	};
+
+	const recordLoss = ({address, watchers, closeListeners}: Check) => {
+		for (const settle of closeListeners) {
+			settle();
+		}
+
+		for (const watcher of watchers) {
+			watcher.isWitnessLost = true;
+			watcher.lossCount += 1;
+			watcher.lostAtMs = performance.now();
+			const {lossCount} = watcher;
 			observe(address, watcher, () => {
-				watcher.hasOutlivedRefusal = true;
+				watcher.isWitnessLost &&= watcher.lossCount !== lossCount;
 			});
 		}
 	};
@@ -112,15 +154,15 @@
 		}
 	};
 
-	/** Opens the next silent connection: at once for the first that was lost, since a target that stops listening resets those that it has not accepted yet. */
+	/** Opens the next silent connection: the first at once, since a target that stops listening resets those that it has not accepted yet. */
 	const scheduleConnection = (check: Check, {wasHeld}: {readonly wasHeld: boolean}) => {
 		const nowMs = performance.now();
-		const isFirstLoss = wasHeld && nowMs - check.lostAtMs >= RETRY_MS;
-		check.lostAtMs = wasHeld ? nowMs : check.lostAtMs;
+		const isAtOnce = wasHeld && nowMs - check.replacedAtMs >= RETRY_MS;
+		check.replacedAtMs = isAtOnce ? nowMs : check.replacedAtMs;
 		check.retryTimer = setTimeout(() => {
 			check.retryTimer = undefined;
 			connectCheck(check);
-		}, isFirstLoss ? 0 : RETRY_MS);
+		}, isAtOnce ? 0 : RETRY_MS);
 		check.retryTimer.unref();
 	};
 
@@ -138,11 +180,8 @@
 			return;
 		}
 
-		for (const watcher of wasHeld ? check.watchers : []) {
-			watcher.isWitnessLost = true;
-			observe(check.address, watcher, () => {
-				watcher.isWitnessLost = false;
-			});
+		if (wasHeld) {
+			recordLoss(check);
 		}
 
 		if (!isRefused) {
@@ -176,25 +215,26 @@
 	};
 
 	/** Finds out whether the silent connection outlives the end of an answer. */
-	const waitForWitness = async ({socket, isHeld}: Check, {isWitnessLost}: Watcher): Promise<WitnessState> => {
-		if (!isHeld || socket === undefined) {
+	const waitForWitness = async ({isHeld, closeListeners}: Check, {isWitnessLost}: Watcher, waitMs: number): Promise<WitnessState> => {
+		if (!isHeld) {
 			return isWitnessLost ? WITNESS_STATES.closed : WITNESS_STATES.none;
 		}
 
 		return new Promise(resolve => {
 			const settle = (state: WitnessState) => {
 				clearTimeout(timer);
+				closeListeners.delete(settleClosed);
 				resolve(state);
 			};
 
+			const settleClosed = () => {
+				settle(WITNESS_STATES.closed);
+			};
+
 			const timer = setTimeout(() => {
 				setImmediate(settle, WITNESS_STATES.open);
-			}, PROCESS_END_MS);
-			for (const eventName of ['end', 'close']) {
-				socket.once(eventName, () => {
-					settle(WITNESS_STATES.closed);
-				});
-			}
+			}, waitMs);
+			closeListeners.add(settleClosed);
 		});
 	};
 
@@ -208,31 +248,44 @@
 		recordRefusal,
 		begin(address, {isLeaving = () => false} = {}) {
 			const check = checks.get(address) ?? {
-				address, watchers: new Set(), socket: undefined, isHeld: false, retryTimer: undefined, lostAtMs: Number.NEGATIVE_INFINITY,
+				address, watchers: new Set(), closeListeners: new Set(), socket: undefined, isHeld: false, hasRefused: false, retryTimer: undefined, replacedAtMs: Number.NEGATIVE_INFINITY,
 			};
 			checks.set(address, check);
 			const watcher: Watcher = {
-				isLeaving, hasOutlivedRefusal: false, isWitnessLost: false, isPaused: false, wasPaused: false, isEnded: false,
+				isLeaving,
+				isAnswering: false,
+				isRefusalObserved: false,
+				hasOutlivedRefusal: false,
+				isWitnessLost: false,
+				lossCount: 0,
+				lostAtMs: Number.NEGATIVE_INFINITY,
+				isPaused: false,
+				pauseCount: 0,
+				isEnded: false,
 			};
 			check.watchers.add(watcher);
-			if (isLeaving()) {
+			if (!check.hasRefused && isLeaving()) {
 				holdConnection(check, watcher);
 			}
 
 			return {
-				holdConnection() {
+				beginAnswer() {
+					watcher.isAnswering = true;
+					watcher.isWitnessLost &&= performance.now() - watcher.lostAtMs < TOGETHER_MS;
 					// Most answers arrive with their end and need no silent connection.
 					setImmediate(holdConnection, check, watcher);
 				},
 				setPaused(isPaused) {
+					watcher.pauseCount += isPaused ? 1 : 0;
 					watcher.isPaused = isPaused;
-					watcher.wasPaused ||= isPaused;
 				},
-				async findSigns() {
+				async findSigns(withinMs = Number.POSITIVE_INFINITY) {
 					watcher.isEnded = true;
 					const {hasOutlivedRefusal} = watcher;
+					const endsAtMs = performance.now() + withinMs;
 					const isListening = await probeTarget(address, {delayMs: 0});
-					const witness = isListening === false ? await waitForWitness(check, watcher) : WITNESS_STATES.none;
+					const waitMs = Math.max(MIN_WITNESS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
+					const witness = isListening === false ? await waitForWitness(check, watcher, waitMs) : WITNESS_STATES.none;
 					release(check, watcher);
 					return {isListening, hasOutlivedRefusal, witness};
 				},
@@ -243,9 +296,9 @@
 		},
 		holdLeaving() {
 			for (const check of checks.values()) {
-				const leaving = [...check.watchers].find(({isLeaving}) => isLeaving());
-				if (leaving !== undefined) {
-					holdConnection(check, leaving);
+				const watcher = check.hasRefused ? undefined : [...check.watchers].find(({isEnded}) => !isEnded);
+				if (watcher?.isLeaving() === true) {
+					holdConnection(check, watcher);
 				}
 			}
 		},
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -75,6 +75,8 @@
 } as const;
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Time before the timeout of a call by which an answer that has ended must be passed on. */
+const END_MARGIN_MS = 50;
 /** Bytes and pieces of a body that are read after the attempt has ended, so that the connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARDED_PIECES = 64;
@@ -91,6 +93,7 @@
 		onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded,
 	} = options;
 	const {response} = handle;
+	const endsAtMs = performance.now() + attempt.remainingMs;
 	let controller: Dispatcher.DispatchController | undefined;
 	let isFinished = false;
 	let isSent = false;
@@ -343,7 +346,7 @@
 	const endClosedResponse = async () => {
 		// A registration that is removed later may be that of a process that has ended.
 		const isLeaving = isTargetLeaving();
-		const signs = await watch!.findSigns();
+		const signs = await watch!.findSigns(endsAtMs - performance.now() - END_MARGIN_MS);
 		if (isFinished) {
 			return;
 		}
@@ -386,7 +389,7 @@
 			onProgress();
 			framing = findFraming(status, headers);
 			if (framing === ANSWER_FRAMINGS.connection) {
-				watch?.holdConnection();
+				watch?.beginAnswer();
 			}
 
 			receiveHead(status, headers, isFirstAnswer);
