Let what is seen before the head of an answer only speak for the answer

Callers saw, with: 502 in place of a whole plain answer when a leaving target closes its silent connections together with its answer or ends its process right behind it; a part of a plain answer as whole, and a whole stream cut, when a target closes silent connections again and again before it answers.

Cause: one connection served two purposes. Its loss before the head was taken for a sign about the end, and the pause until its next replacement kept the watch of the answer from opening its own.

A connection of its own (createLeaveWitnesses) is held to a leaving target and counts only if it outlives the end. createSilentConnection is what both share. The probe of a target ends before the limit of its call, too.

--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -5,7 +5,7 @@
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
-import {createTargetWatches, type TargetWatches} from '../createTargetWatches.js';
+import {createTargetWatches} from '../createTargetWatches.js';
 
 const SETTLE_MS = 100;
 /** Longer than a process needs to end all of its connections. */
@@ -84,17 +84,10 @@
 	};
 }
 
-/** Begins a watch of an answer that ends with its connection. */
-function beginHeld(watches: TargetWatches, address: string) {
-	const watch = watches.begin(address);
-	watch.beginAnswer();
-	return watch;
-}
-
 describe('watches of a target', () => {
 	it('share one connection, and close it with the last of them and at the stop', async context => {
 		const {address, sockets, watches} = await startTarget(context);
-		const [first, second] = [beginHeld(watches, address), beginHeld(watches, address)];
+		const [first, second] = [watches.begin(address), watches.begin(address)];
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 1);
 		first.stop();
@@ -103,7 +96,7 @@
 		second.stop();
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 0);
-		beginHeld(watches, address);
+		watches.begin(address);
 		await wait(SETTLE_MS);
 		assert.equal(sockets.size, 1);
 		watches.close();
@@ -117,7 +110,7 @@
 		server.on('connection', () => {
 			connectionCount += 1;
 		});
-		beginHeld(watches, address).stop();
+		watches.begin(address).stop();
 		await wait(SETTLE_MS);
 		assert.equal(connectionCount, 0);
 	});
@@ -130,7 +123,7 @@
 	] as const) {
 		it(`tell that the connection ${name}`, async context => {
 			const {address, server, watches, closeSockets} = await startTarget(context);
-			const watch = beginHeld(watches, address);
+			const watch = watches.begin(address);
 			await wait(SETTLE_MS);
 			server.close();
 			if (isClosed) {
@@ -146,8 +139,8 @@
 	it('take a refusal for outlived only if the answer was read for a while after it', async context => {
 		const {address, server, watches, setUnread} = await startTarget(context);
 		server.close();
-		const outlived = beginHeld(watches, address);
-		const [early, paused] = [beginHeld(watches, address), beginHeld(watches, address)];
+		const outlived = watches.begin(address);
+		const [early, paused] = [watches.begin(address), watches.begin(address)];
 		paused.setPaused(true);
 		await wait(SETTLE_MS);
 		const signs = [await early.findSigns()];
@@ -155,7 +148,7 @@
 		paused.setPaused(false);
 		signs.push(await outlived.findSigns(), await paused.findSigns());
 		setUnread(true);
-		const unread = beginHeld(watches, address);
+		const unread = watches.begin(address);
 		await wait(OUTLIVED_MS);
 		signs.push(await unread.findSigns());
 		assert.deepEqual(signs.map(({hasOutlivedRefusal}) => hasOutlivedRefusal), [false, true, false, false]);
@@ -169,7 +162,7 @@
 		});
 		stopAfterStandstill();
 		await wait(SETTLE_MS / 4);
-		const watch = beginHeld(watches, address);
+		const watch = watches.begin(address);
 		await wait(SETTLE_MS + OUTLIVED_MS);
 		const {isListening, hasOutlivedRefusal} = await watch.findSigns();
 		assert.deepEqual([isListening, hasOutlivedRefusal], [false, true]);
@@ -177,7 +170,7 @@
 
 	it('learn at once that a target listens no more which resets their connection, and outlive that', async context => {
 		const {address, server, watches, closeSockets} = await startTarget(context);
-		const watch = beginHeld(watches, address);
+		const watch = watches.begin(address);
 		await wait(SETTLE_MS);
 		server.close();
 		closeSockets();
@@ -193,65 +186,15 @@
 			connectionCount += 1;
 			socket.destroy();
 		});
-		beginHeld(watches, address);
+		watches.begin(address);
 		await wait(OUTLIVED_MS);
 		assert.equal(connectionCount, 2);
 	});
 
-	it('hold a connection before the answer once the target announces that it stops', async context => {
-		const {address, sockets, server, watches} = await startTarget(context);
-		let isLeaving = false;
-		const options = {isLeaving: () => isLeaving};
-		const watch = watches.begin(address, options);
-		watches.holdLeaving();
-		await wait(SETTLE_MS);
-		assert.equal(sockets.size, 0);
-		isLeaving = true;
-		watches.holdLeaving();
-		await wait(SETTLE_MS);
-		assert.equal(sockets.size, 1);
-		server.close();
-		const {isListening, witness} = await watch.findSigns();
-		assert.deepEqual([isListening, witness], [false, 'open']);
-		await wait(SETTLE_MS);
-		assert.equal(sockets.size, 0);
-	});
-
-	it('hold a connection from the start of a request to a target that leaves', async context => {
-		const {address, sockets, watches} = await startTarget(context);
-		watches.begin(address, {isLeaving: () => true});
-		await wait(SETTLE_MS);
-		assert.equal(sockets.size, 1);
-	});
-
-	for (const gapMs of [50, 100, 200]) {
-		it(`forget a connection that closed ${gapMs} ms before the answer began`, async context => {
-			const {address, server, watches, closeSockets} = await startTarget(context);
-			const watch = watches.begin(address, {isLeaving: () => true});
-			await wait(SETTLE_MS);
-			server.close();
-			closeSockets();
-			await wait(gapMs);
-			watch.beginAnswer();
-			const {isListening, hasOutlivedRefusal, witness} = await watch.findSigns();
-			assert.deepEqual([isListening, hasOutlivedRefusal, witness], [false, false, 'none']);
-		});
-	}
-
-	it('take no refusal for outlived that came before the answer began', async context => {
-		const {address, server, watches} = await startTarget(context);
-		server.close();
-		const watch = watches.begin(address, {isLeaving: () => true});
-		await wait(OUTLIVED_MS);
-		watch.beginAnswer();
-		const {hasOutlivedRefusal} = await watch.findSigns();
-		assert.equal(hasOutlivedRefusal, false);
-	});
-
 	it('take a refusal for outlived only if nothing paused the answer since, whatever is refused in between', async context => {
 		const {address, server, watches} = await startTarget(context);
 		server.close();
-		const watch = beginHeld(watches, address);
+		const watch = watches.begin(address);
 		watch.setPaused(true);
 		watches.recordRefusal(address);
 		await wait(2 * SETTLE_MS);
@@ -262,20 +205,6 @@
 		assert.equal(hasOutlivedRefusal, false);
 	});
 
-	it('hold a connection for a target that leaves although another answer of it is being checked', async context => {
-		const {address, sockets, watches} = await startTarget(context);
-		let isLeaving = false;
-		const options = {isLeaving: () => isLeaving};
-		const first = watches.begin(address, options);
-		watches.begin(address, options);
-		isLeaving = true;
-		const signs = first.findSigns();
-		watches.holdLeaving();
-		await signs;
-		await wait(SETTLE_MS);
-		assert.equal(sockets.size, 1);
-	});
-
 	it('leave no listeners behind many answers that end together', async context => {
 		const {address, server, watches} = await startTarget(context);
 		const warnings: string[] = [];
@@ -284,7 +213,7 @@
 		};
 
 		process.on('warning', recordWarning);
-		const all = Array.from({length: 12}, () => watches.begin(address, {isLeaving: () => true}));
+		const all = Array.from({length: 12}, () => watches.begin(address));
 		await wait(SETTLE_MS);
 		server.close();
 		await Promise.all(all.map(async watch => watch.findSigns()));
@@ -299,11 +228,10 @@
 		setUnread(true);
 		const watchCount = 24;
 		for (let index = 0; index < watchCount; index += 1) {
-			beginHeld(watches, address);
+			watches.begin(address);
 		}
 
 		for (let index = 0; index < 8; index += 1) {
-			watches.holdLeaving();
 			watches.recordRefusal(address);
 			await wait(OUTLIVED_MS / 4);
 		}
@@ -314,11 +242,11 @@
 
 	it('tell the signs within the time that is left', async context => {
 		const {address, server, watches} = await startTarget(context);
-		const watch = beginHeld(watches, address);
+		const watch = watches.begin(address);
 		await wait(SETTLE_MS);
 		server.close();
 		const beganAtMs = performance.now();
-		const {witness} = await watch.findSigns(SETTLE_MS);
+		const {witness} = await watch.findSigns({withinMs: SETTLE_MS});
 		assert.equal(witness, 'open');
 		assert.ok(performance.now() - beganAtMs < 2 * SETTLE_MS);
 	});
--- a/packages/daemon/src/direct/createCallEffects.ts
+++ b/packages/daemon/src/direct/createCallEffects.ts
@@ -7,6 +7,7 @@
 } from '@damaskspool/runtime';
 import {createFailure} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
+import {type LeaveWitnesses} from './createLeaveWitnesses.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {type TargetPools} from './createTargetPools.js';
 import {type TargetWatches} from './createTargetWatches.js';
@@ -21,6 +22,7 @@
 	readonly metrics: Metrics;
 	readonly pools: TargetPools;
 	readonly targetWatches: TargetWatches;
+	readonly leaveWitnesses: LeaveWitnesses;
 	readonly memoryLedger: MemoryLedger;
 	/** Returns the maximum number of connections from this entry to one target of a service. */
 	readonly computeMaxConnections: (serviceId: string) => number;
@@ -48,7 +50,7 @@
 
 /** Creates the handlers of effects that concern calls, with an empty registry of calls. */
 export function createCallEffects(options: CallEffectsOptions): CallEffects {
-	const {ports, metrics, pools, targetWatches, memoryLedger, computeMaxConnections, isPaused, isLimited, isLeaving, readWallClock, dispatch} = options;
+	const {ports, metrics, pools, targetWatches, leaveWitnesses, memoryLedger, computeMaxConnections, isPaused, isLimited, isLeaving, readWallClock, dispatch} = options;
 	const handles = new Map<number, CallHandle>();
 	/** Functions that cancel the timeouts of calls. */
 	const timeouts = new Map<number, () => void>();
@@ -96,7 +98,8 @@
 					recordAnswer: pools.recordAnswer,
 					recordRefusal: pools.recordRefusal,
 					isPaused: () => isPaused(target.targetId),
-					watchTarget: () => targetWatches.begin(target.address, {isLeaving: () => isLeaving(target)}),
+					watchTarget: () => targetWatches.begin(target.address),
+					addWitness: () => leaveWitnesses.add(target.address, () => isLeaving(target)),
 					isTargetLeaving: () => isLeaving(target),
 					onNotice(notice) {
 						const tellsLimit = notice.requestsPerSecond !== undefined && (Number.isFinite(notice.requestsPerSecond) || isLimited(target.targetId));
--- a/packages/daemon/src/direct/createDirectEntry.ts
+++ b/packages/daemon/src/direct/createDirectEntry.ts
@@ -24,6 +24,7 @@
 import {drainCallers} from './drainCallers.js';
 import {startStoreWatches} from './startStoreWatches.js';
 import {updateEvennessMetrics} from './updateEvennessMetrics.js';
+import {createLeaveWitnesses} from './createLeaveWitnesses.js';
 import {createMemoryLedger} from './createMemoryLedger.js';
 import {createMonotonicWallClock} from './createMonotonicWallClock.js';
 import {createSuspensionDetector} from './createSuspensionDetector.js';
@@ -96,6 +97,7 @@
 	});
 	const pools = createTargetPools({readGovernor});
 	const targetWatches = createTargetWatches({hasUnread: pools.hasUnread});
+	const leaveWitnesses = createLeaveWitnesses();
 	const connections = createConnectionTracker({
 		onCut({requestId, ...cut}) {
 			metrics.count(`answers_cut{stage="${cut.stage}",closedBy="${cut.closedBy}"${cut.reason === undefined ? '' : `,reason="${cut.reason}"`}}`);
@@ -183,6 +185,7 @@
 		metrics,
 		pools,
 		targetWatches,
+		leaveWitnesses,
 		memoryLedger,
 		computeMaxConnections,
 		isPaused: targetId => (state.placement.targets.get(targetId)?.pausedUntilMs ?? 0) > performance.now(),
@@ -249,7 +252,7 @@
 					updateEvennessMetrics(metrics, subject, detail);
 				} else if (name === 'targets.applied') {
 					pools.retain(new Set(state.placement.targets.keys()));
-					targetWatches.holdLeaving();
+					leaveWitnesses.holdLeaving();
 				} else if (name === 'configuration.applied' && state.configuration !== undefined) {
 					callerServer.applyLimits(state.configuration.limits);
 				}
@@ -393,6 +396,7 @@
 			readinessServer.close();
 			peerLink.close();
 			targetWatches.close();
+			leaveWitnesses.close();
 			await Promise.all([pools.close(), ports.close()]);
 		},
 	};
--- a/packages/daemon/src/direct/createTargetWatches.ts
+++ b/packages/daemon/src/direct/createTargetWatches.ts
@@ -1,35 +1,32 @@
-import {connect, type Socket} from 'node:net';
 import {type CloseSigns, WITNESS_STATES, type WitnessState} from '@damaskspool/core';
+import {createSilentConnection, type SilentConnection} from './createSilentConnection.js';
 import {probeTarget} from './probeTarget.js';
 
 /** Signs that a watch finds by itself. */
 export type WatchedSigns = Omit<CloseSigns, 'isLeaving'>;
 
-/** Watches whether the process of a target lives while a request to it is under way. */
+/** Watches whether the process of a target lives while an answer of it is under way that ends with its connection. */
 export type TargetWatch = {
-	/** Records that an answer has begun that ends with its connection, and opens a silent connection to the target. */
-	readonly beginAnswer: () => void;
 	/** Records whether the connection of the answer is read. While it is not, its end can not be seen. */
 	readonly setPaused: (isPaused: boolean) => void;
-	/**
-	 * Ends the watch because the answer has ended, and returns what it shows.
-	 *
-	 * @param withinMs - time that is left for the answer
-	 */
-	readonly findSigns: (withinMs?: number) => Promise<WatchedSigns>;
+	/** Finds out what the watch shows about the end of the answer, and ends it. */
+	readonly findSigns: (options?: FindSignsOptions) => Promise<WatchedSigns>;
 	/** Ends the watch. */
 	readonly stop: () => void;
 };
 
+/** Options of {@link TargetWatch.findSigns}. */
+export type FindSignsOptions = {
+	/** Time after which the signs are of no use. A few milliseconds are taken in any case. */
+	readonly withinMs?: number;
+	/** Another silent connection to the target. It counts if it stays open. */
+	readonly connection?: SilentConnection | undefined;
+};
+
 /** Watches of all targets. Answers of one target share one silent connection. */
 export type TargetWatches = {
-	/**
-	 * @param address - `ip:port`
-	 * @param options - `isLeaving` tells whether the target has announced that it stops
-	 */
-	readonly begin: (address: string, options?: {readonly isLeaving?: () => boolean}) => TargetWatch;
-	/** Opens silent connections to targets that have announced that they stop and still have requests, while they listen. */
-	readonly holdLeaving: () => void;
+	/** @param address - `ip:port` */
+	readonly begin: (address: string) => TargetWatch;
 	/** Records that a target refused a connection. */
 	readonly recordRefusal: (address: string) => void;
 	/** Closes all connections of watches. */
@@ -43,14 +40,11 @@
 };
 
 type Watcher = {
-	readonly isLeaving: () => boolean;
-	/** Whether the head of an answer has come that ends with its connection. What came before says nothing about a process that ends behind it. */
-	isAnswering: boolean;
 	isRefusalObserved: boolean;
 	hasOutlivedRefusal: boolean;
+	isLossObserved: boolean;
 	/** Whether the silent connection has closed, and it is not known yet whether the process lives on. */
 	isWitnessLost: boolean;
-	lossCount: number;
 	/** Monotonic time. */
 	lostAtMs: number;
 	isPaused: boolean;
@@ -62,25 +56,17 @@
 type Check = {
 	readonly address: string;
 	readonly watchers: Set<Watcher>;
-	/** Called when the silent connection closes. */
-	readonly closeListeners: Set<() => void>;
-	socket: Socket | undefined;
-	isHeld: boolean;
-	hasRefused: boolean;
+	connection: SilentConnection | undefined;
 	retryTimer: NodeJS.Timeout | undefined;
-	/** Monotonic time. */
+	/** Monotonic time of the last replacement at once. */
 	replacedAtMs: number;
 };
 
 /** Time within which the ends of all connections of a process that has ended arrive, also when a packet was lost once. Callers wait for it. */
 const PROCESS_END_MS = 250;
-/** Time between two ends of connections of a process that ends, unless a packet is lost. */
-const TOGETHER_MS = 10;
-/** Least time for the end of the silent connection to arrive behind the end of an answer. */
-const MIN_WITNESS_MS = 20;
-/** Time for a target to accept or refuse the silent connection: many round trips. */
-const CONNECT_TIMEOUT_MS = 400;
-/** Shortest time between two replacements of a silent connection to a target, which may close idle ones. */
+/** Least time for which the signs of an end are looked for. */
+const MIN_SIGNS_MS = 20;
+/** Time until a lost silent connection is replaced, unless none was replaced at once for as long. A target may close idle ones. */
 const RETRY_MS = 1000;
 
 /** Creates an empty set of watches. */
@@ -108,14 +94,8 @@
 	};
 
 	const recordRefusal = (address: string) => {
-		const check = checks.get(address);
-		if (check === undefined) {
-			return;
-		}
-
-		check.hasRefused = true;
-		for (const watcher of check.watchers) {
-			if (watcher.isAnswering && !watcher.isRefusalObserved) {
+		for (const watcher of checks.get(address)?.watchers ?? []) {
+			if (!watcher.isRefusalObserved) {
 				watcher.isRefusalObserved = true;
 				observe(address, watcher, () => {
 					watcher.hasOutlivedRefusal = true;
@@ -124,26 +104,33 @@
 		}
 	};
 
-	const recordLoss = ({address, watchers, closeListeners}: Check) => {
-		for (const settle of closeListeners) {
-			settle();
-		}
+	const observeLoss = (address: string, watcher: Watcher) => {
+		const {lostAtMs} = watcher;
+		watcher.isLossObserved = true;
+		observe(address, watcher, () => {
+			if (watcher.lostAtMs === lostAtMs) {
+				watcher.isWitnessLost = false;
+				watcher.isLossObserved = false;
+			} else {
+				observeLoss(address, watcher);
+			}
+		});
+	};
 
+	const recordLoss = ({address, watchers}: Check) => {
 		for (const watcher of watchers) {
 			watcher.isWitnessLost = true;
-			watcher.lossCount += 1;
 			watcher.lostAtMs = performance.now();
-			const {lossCount} = watcher;
-			observe(address, watcher, () => {
-				watcher.isWitnessLost &&= watcher.lossCount !== lossCount;
-			});
+			if (!watcher.isLossObserved) {
+				observeLoss(address, watcher);
+			}
 		}
 	};
 
-	const destroyCheck = ({address, socket, retryTimer}: Check) => {
+	const destroyCheck = ({address, connection, retryTimer}: Check) => {
 		checks.delete(address);
 		clearTimeout(retryTimer);
-		socket?.destroy();
+		connection?.destroy();
 	};
 
 	const release = (check: Check, watcher: Watcher) => {
@@ -154,7 +141,7 @@
 		}
 	};
 
-	/** Opens the next silent connection: the first at once, since a target that stops listening resets those that it has not accepted yet. */
+	/** Replaces a lost connection: the first at once, since a target that stops listening resets those that it has not accepted yet. */
 	const scheduleConnection = (check: Check, {wasHeld}: {readonly wasHeld: boolean}) => {
 		const nowMs = performance.now();
 		const isAtOnce = wasHeld && nowMs - check.replacedAtMs >= RETRY_MS;
@@ -166,126 +153,72 @@
 		check.retryTimer.unref();
 	};
 
-	/** Records that the silent connection is gone. Another one is opened while it is needed, unless the target listens no more. */
-	const dropConnection = (check: Check, socket: Socket, {isRefused = false}: {isRefused?: boolean} = {}) => {
-		if (check.socket !== socket) {
-			return;
-		}
-
-		const wasHeld = check.isHeld;
-		check.socket = undefined;
-		check.isHeld = false;
-		socket.destroy();
-		if (checks.get(check.address) !== check) {
-			return;
-		}
-
-		if (wasHeld) {
-			recordLoss(check);
-		}
-
-		if (!isRefused) {
-			scheduleConnection(check, {wasHeld});
-		}
-	};
-
 	const connectCheck = (check: Check) => {
-		const [host = '', port = ''] = check.address.split(':');
-		const socket = connect({host, port: Number(port), timeout: CONNECT_TIMEOUT_MS});
-		check.socket = socket;
-		socket.unref();
-		socket.on('connect', () => {
-			check.isHeld = check.socket === socket;
-			socket.setTimeout(0);
-			socket.resume();
-		});
-		socket.on('error', ({code}: NodeJS.ErrnoException) => {
-			const isRefused = code === 'ECONNREFUSED';
-			if (isRefused) {
-				recordRefusal(check.address);
-			}
-
-			dropConnection(check, socket, {isRefused});
-		});
-		for (const eventName of ['timeout', 'end', 'close']) {
-			socket.on(eventName, () => {
-				dropConnection(check, socket);
-			});
-		}
-	};
-
-	/** Finds out whether the silent connection outlives the end of an answer. */
-	const waitForWitness = async ({isHeld, closeListeners}: Check, {isWitnessLost}: Watcher, waitMs: number): Promise<WitnessState> => {
-		if (!isHeld) {
-			return isWitnessLost ? WITNESS_STATES.closed : WITNESS_STATES.none;
-		}
-
-		return new Promise(resolve => {
-			const settle = (state: WitnessState) => {
-				clearTimeout(timer);
-				closeListeners.delete(settleClosed);
-				resolve(state);
-			};
+		check.connection = createSilentConnection({
+			address: check.address, onLost({wasHeld, isRefused}) {
+				check.connection = undefined;
+				if (isRefused) {
+					recordRefusal(check.address);
+				}
 
-			const settleClosed = () => {
-				settle(WITNESS_STATES.closed);
-			};
+				if (wasHeld) {
+					recordLoss(check);
+				}
 
-			const timer = setTimeout(() => {
-				setImmediate(settle, WITNESS_STATES.open);
-			}, waitMs);
-			closeListeners.add(settleClosed);
+				if (!isRefused && checks.get(check.address) === check) {
+					scheduleConnection(check, {wasHeld});
+				}
+			},
 		});
 	};
 
-	const holdConnection = (check: Check, watcher: Watcher) => {
-		if (!watcher.isEnded && check.socket === undefined && check.retryTimer === undefined) {
-			connectCheck(check);
+	/** Finds out whether one of the silent connections outlives the end of an answer. */
+	const waitForWitness = async (check: Check, watcher: Watcher, {connection, waitMs}: {connection: SilentConnection | undefined; waitMs: number}): Promise<WitnessState> => {
+		const wasHeld = check.connection?.isHeld() === true;
+		const areOpen = await Promise.all([check.connection, connection].map(async silent => silent?.waitForClose(waitMs)));
+		if (areOpen.includes(true)) {
+			return WITNESS_STATES.open;
 		}
+
+		return wasHeld || watcher.isWitnessLost ? WITNESS_STATES.closed : WITNESS_STATES.none;
 	};
 
 	return {
 		recordRefusal,
-		begin(address, {isLeaving = () => false} = {}) {
+		begin(address) {
 			const check = checks.get(address) ?? {
-				address, watchers: new Set(), closeListeners: new Set(), socket: undefined, isHeld: false, hasRefused: false, retryTimer: undefined, replacedAtMs: Number.NEGATIVE_INFINITY,
+				address, watchers: new Set(), connection: undefined, retryTimer: undefined, replacedAtMs: Number.NEGATIVE_INFINITY,
 			};
 			checks.set(address, check);
 			const watcher: Watcher = {
-				isLeaving,
-				isAnswering: false,
 				isRefusalObserved: false,
 				hasOutlivedRefusal: false,
+				isLossObserved: false,
 				isWitnessLost: false,
-				lossCount: 0,
 				lostAtMs: Number.NEGATIVE_INFINITY,
 				isPaused: false,
 				pauseCount: 0,
 				isEnded: false,
 			};
 			check.watchers.add(watcher);
-			if (!check.hasRefused && isLeaving()) {
-				holdConnection(check, watcher);
-			}
-
+			// Most answers arrive with their end and need no silent connection.
+			setImmediate(() => {
+				if (!watcher.isEnded && check.connection === undefined && check.retryTimer === undefined) {
+					connectCheck(check);
+				}
+			});
 			return {
-				beginAnswer() {
-					watcher.isAnswering = true;
-					watcher.isWitnessLost &&= performance.now() - watcher.lostAtMs < TOGETHER_MS;
-					// Most answers arrive with their end and need no silent connection.
-					setImmediate(holdConnection, check, watcher);
-				},
 				setPaused(isPaused) {
 					watcher.pauseCount += isPaused ? 1 : 0;
 					watcher.isPaused = isPaused;
 				},
-				async findSigns(withinMs = Number.POSITIVE_INFINITY) {
+				async findSigns({withinMs = Number.POSITIVE_INFINITY, connection} = {}) {
 					watcher.isEnded = true;
 					const {hasOutlivedRefusal} = watcher;
 					const endsAtMs = performance.now() + withinMs;
-					const isListening = await probeTarget(address, {delayMs: 0});
-					const waitMs = Math.max(MIN_WITNESS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
-					const witness = isListening === false ? await waitForWitness(check, watcher, waitMs) : WITNESS_STATES.none;
+					const computeWaitMs = () => Math.max(MIN_SIGNS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
+					const isListening = await probeTarget(address, {delayMs: 0, timeoutMs: Math.max(MIN_SIGNS_MS, withinMs)});
+					const witness = isListening === false ? await waitForWitness(check, watcher, {connection, waitMs: computeWaitMs()}) : WITNESS_STATES.none;
 					release(check, watcher);
 					return {isListening, hasOutlivedRefusal, witness};
 				},
@@ -294,14 +227,6 @@
 				},
 			};
 		},
-		holdLeaving() {
-			for (const check of checks.values()) {
-				const watcher = check.hasRefused ? undefined : [...check.watchers].find(({isEnded}) => !isEnded);
-				if (watcher?.isLeaving() === true) {
-					holdConnection(check, watcher);
-				}
-			}
-		},
 		close() {
 			for (const check of checks.values()) {
 				destroyCheck(check);
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -11,6 +11,7 @@
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {createEventSplitter} from './createEventSplitter.js';
 import {createForwarder} from './createForwarder.js';
+import {type LeaveWitness} from './createLeaveWitnesses.js';
 import {type TargetWatch} from './createTargetWatches.js';
 
 /** Result of an attempt, as the reducer receives it. */
@@ -41,8 +42,10 @@
 	readonly isHandlingReset: () => boolean;
 	/** Whether the target has asked for a pause. A request that still waits for a connection is then not sent. */
 	readonly isPaused: () => boolean;
-	/** Watches the target while the request is at it. */
+	/** Watches the target while an answer of it is under way that ends with its connection. */
 	readonly watchTarget: () => TargetWatch;
+	/** Records the request at a target that may announce that it stops. */
+	readonly addWitness: () => LeaveWitness;
 	/** Whether the target has announced that it stops, or its registration was removed. */
 	readonly isTargetLeaving: () => boolean;
 	/** Called when bytes of the connection were part of a response. */
@@ -75,7 +78,7 @@
 } as const;
 /** Responses up to this size are forwarded only when complete, so that the request can be retried if the connection breaks before the end. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Time before the timeout of a call by which an answer that has ended must be passed on. */
+/** Time before the timeout of a call by which an answer that has ended should be passed on. */
 const END_MARGIN_MS = 50;
 /** Bytes and pieces of a body that are read after the attempt has ended, so that the connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536;
@@ -89,7 +92,7 @@
  */
 export function runAttempt(options: RunAttemptOptions): () => void {
 	const {
-		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, watchTarget, isTargetLeaving,
+		attempt, handle, pool, ports, memoryLedger, isHandlingReset, isPaused, watchTarget, addWitness, isTargetLeaving,
 		onProgress, recordAnswer, recordRefusal, onNotice, onResponseBegan, onPrefillEnded, onEnded,
 	} = options;
 	const {response} = handle;
@@ -100,6 +103,7 @@
 	let hasBegun = false;
 	let framing: AnswerFraming | undefined;
 	let watch: TargetWatch | undefined;
+	let witness: LeaveWitness | undefined;
 	let closeSigns: CloseSigns | undefined;
 	let {isCloseDoubtful} = attempt;
 	let discardedBytes = 0;
@@ -120,13 +124,18 @@
 		},
 	});
 
+	const stopWatching = () => {
+		watch?.stop();
+		witness?.release();
+	};
+
 	const finish = (result: AttemptResult, detail: string, hasRun = hasBegun) => {
 		if (isFinished) {
 			return;
 		}
 
 		isFinished = true;
-		watch?.stop();
+		stopWatching();
 		forwarder.flush();
 		handle.held.bufferedBytes = handle.bufferedResponse?.body.length ?? 0;
 		if (attempt.isPrefillOnly) {
@@ -191,7 +200,7 @@
 		}
 
 		isFinished = true;
-		watch?.stop();
+		stopWatching();
 		onPrefillEnded(handleId, ATTEMPT_RESULTS.answered);
 	});
 
@@ -346,7 +355,7 @@
 	const endClosedResponse = async () => {
 		// A registration that is removed later may be that of a process that has ended.
 		const isLeaving = isTargetLeaving();
-		const signs = await watch!.findSigns(endsAtMs - performance.now() - END_MARGIN_MS);
+		const signs = await watch!.findSigns({withinMs: endsAtMs - performance.now() - END_MARGIN_MS, connection: witness?.getConnection()});
 		if (isFinished) {
 			return;
 		}
@@ -377,8 +386,8 @@
 			}
 
 			isSent = true;
-			watch?.stop();
-			watch = watchTarget();
+			witness?.release();
+			witness = addWitness();
 		},
 		onResponseStart(_started, status, headers) {
 			const isFirstAnswer = status >= 200 && recordAnswer();
@@ -388,10 +397,7 @@
 
 			onProgress();
 			framing = findFraming(status, headers);
-			if (framing === ANSWER_FRAMINGS.connection) {
-				watch?.beginAnswer();
-			}
-
+			watch = framing === ANSWER_FRAMINGS.connection ? watchTarget() : undefined;
 			receiveHead(status, headers, isFirstAnswer);
 		},
 		onResponseData(started, chunk) {
@@ -425,7 +431,7 @@
 	});
 	return () => {
 		isFinished = true;
-		watch?.stop();
+		stopWatching();
 		forwarder.flush();
 		controller?.abort(new Error('the attempt was cancelled'));
 	};
