Replace a silent connection at once only when it was reset

Cause: a refusal that follows the end of a connection is what a killed process shows. The probe was shortened with the wait for the witness.

Change: only a reset is replaced at once: a target that stops listening resets what it has not accepted. A destroyed connection counts as closed.

--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -169,28 +169,59 @@
 	});
 
 	it('learn at once that a target listens no more which resets their connection, and outlive that', async context => {
-		const {address, server, watches, closeSockets} = await startTarget(context);
+		const {address, server, sockets, watches} = await startTarget(context);
 		const watch = watches.begin(address);
 		await wait(SETTLE_MS);
 		server.close();
-		closeSockets();
+		for (const socket of sockets) {
+			socket.resetAndDestroy();
+		}
+
 		await wait(OUTLIVED_MS);
 		const {isListening, hasOutlivedRefusal} = await watch.findSigns();
 		assert.deepEqual([isListening, hasOutlivedRefusal], [false, true]);
 	});
 
-	it('replace a connection that the target closes at most twice a second', async context => {
+	// The rest of an answer may arrive long after its process was killed.
+	it('do not outlive a process whose connections have ended', async context => {
+		const {address, server, watches, closeSockets} = await startTarget(context);
+		const watch = watches.begin(address);
+		await wait(SETTLE_MS);
+		server.close();
+		closeSockets();
+		await wait(2 * OUTLIVED_MS);
+		const {isListening, hasOutlivedRefusal} = await watch.findSigns();
+		assert.deepEqual([isListening, hasOutlivedRefusal], [false, false]);
+	});
+
+	it('tell no open connection when they are closed', async context => {
 		const {address, server, watches} = await startTarget(context);
-		let connectionCount = 0;
-		server.on('connection', (socket: Socket) => {
-			connectionCount += 1;
-			socket.destroy();
-		});
-		watches.begin(address);
-		await wait(OUTLIVED_MS);
-		assert.equal(connectionCount, 2);
+		const watch = watches.begin(address);
+		await wait(SETTLE_MS);
+		server.close();
+		const signs = watch.findSigns();
+		await wait(SETTLE_MS);
+		watches.close();
+		const {witness} = await signs;
+		assert.equal(witness, 'closed');
 	});
 
+	for (const [end, connectionCount] of [['destroy', 1], ['resetAndDestroy', 2]] as const) {
+		it(`open ${connectionCount} of the connections that the target ends with ${end} in less than a second`, async context => {
+			const {address, server, watches} = await startTarget(context);
+			let openedCount = 0;
+			server.on('connection', (socket: Socket) => {
+				openedCount += 1;
+				setTimeout(() => {
+					socket[end]();
+				}, SETTLE_MS / 4);
+			});
+			watches.begin(address);
+			await wait(OUTLIVED_MS);
+			assert.equal(openedCount, connectionCount);
+		});
+	}
+
 	it('take a refusal for outlived only if nothing paused the answer since, whatever is refused in between', async context => {
 		const {address, server, watches} = await startTarget(context);
 		server.close();
--- a/packages/daemon/src/direct/createLeaveWitnesses.ts
+++ b/packages/daemon/src/direct/createLeaveWitnesses.ts
@@ -2,7 +2,7 @@
 
 /**
  * Silent connections to targets that have announced that they stop and still have requests. A target that stops listening
- * accepts none later. One that is lost says nothing, since a target may close it when it stops listening.
+ * accepts none later. Its loss is no sign, since a target may close it when it stops listening.
  */
 export type LeaveWitnesses = {
 	/**
@@ -38,7 +38,7 @@
 	const hold = (address: string, target: LeavingTarget) => {
 		target.connection ??= createSilentConnection({
 			address, onLost() {
-				// Another one is not opened: what it shows later, the watch of the answer shows as well.
+				// A target that has stopped listening would refuse another one.
 			},
 		});
 	};
--- a/packages/daemon/src/direct/createSilentConnection.ts
+++ b/packages/daemon/src/direct/createSilentConnection.ts
@@ -9,17 +9,26 @@
 	 * @param waitMs - time within which its end would arrive
 	 * @returns whether it was open and still is
 	 */
-	readonly waitForClose: (waitMs: number) => Promise<boolean>;
+	readonly checkStaysOpen: (waitMs: number) => Promise<boolean>;
 	/** Closes the connection without a call of `onLost`. */
 	readonly destroy: () => void;
 };
 
+/** How a silent connection was lost. All are false if it was not accepted in time. */
+export type ConnectionLoss = {
+	/** Whether it was open. */
+	readonly wasHeld: boolean;
+	/** Whether it was reset. A target that stops listening resets those that it has not accepted yet. */
+	readonly wasReset: boolean;
+	readonly isRefused: boolean;
+};
+
 /** Options of {@link createSilentConnection}. */
 export type SilentConnectionOptions = {
 	/** `ip:port` */
 	readonly address: string;
-	/** Called once when the target refuses the connection, does not accept it in time, or closes it. */
-	readonly onLost: (loss: {readonly wasHeld: boolean; readonly isRefused: boolean}) => void;
+	/** Called once when the connection fails or ends. */
+	readonly onLost: (loss: ConnectionLoss) => void;
 };
 
 /** Time for a target to accept or refuse the connection: many round trips. */
@@ -33,20 +42,21 @@
 	let isHeld = false;
 	let isEnded = false;
 
-	const end = ({isRefused = false} = {}) => {
-		if (isEnded) {
-			return;
-		}
-
-		const wasHeld = isHeld;
+	const destroy = () => {
 		isEnded = true;
 		isHeld = false;
 		socket.destroy();
 		for (const settle of closeListeners) {
 			settle();
 		}
+	};
 
-		onLost({wasHeld, isRefused});
+	const end = (code?: string) => {
+		if (!isEnded) {
+			const wasHeld = isHeld;
+			destroy();
+			onLost({wasHeld, wasReset: wasHeld && code === 'ECONNRESET', isRefused: code === 'ECONNREFUSED'});
+		}
 	};
 
 	socket.unref();
@@ -56,7 +66,7 @@
 		socket.resume();
 	});
 	socket.on('error', ({code}: NodeJS.ErrnoException) => {
-		end({isRefused: code === 'ECONNREFUSED'});
+		end(code);
 	});
 	for (const eventName of ['timeout', 'end', 'close']) {
 		socket.on(eventName, () => {
@@ -66,7 +76,7 @@
 
 	return {
 		isHeld: () => isHeld,
-		async waitForClose(waitMs) {
+		async checkStaysOpen(waitMs) {
 			if (!isHeld) {
 				return false;
 			}
@@ -89,10 +99,6 @@
 				closeListeners.add(settleClosed);
 			});
 		},
-		destroy() {
-			isEnded = true;
-			isHeld = false;
-			socket.destroy();
-		},
+		destroy,
 	};
 }
--- a/packages/daemon/src/direct/createTargetWatches.ts
+++ b/packages/daemon/src/direct/createTargetWatches.ts
@@ -1,5 +1,5 @@
 import {type CloseSigns, WITNESS_STATES, type WitnessState} from '@damaskspool/core';
-import {createSilentConnection, type SilentConnection} from './createSilentConnection.js';
+import {type ConnectionLoss, createSilentConnection, type SilentConnection} from './createSilentConnection.js';
 import {probeTarget} from './probeTarget.js';
 
 /** Signs that a watch finds by itself. */
@@ -17,7 +17,7 @@
 
 /** Options of {@link TargetWatch.findSigns}. */
 export type FindSignsOptions = {
-	/** Time after which the signs are of no use. A few milliseconds are taken in any case. */
+	/** Time for which the end of a silent connection is waited for at most. */
 	readonly withinMs?: number;
 	/** Another silent connection to the target. It counts if it stays open. */
 	readonly connection?: SilentConnection | undefined;
@@ -64,9 +64,9 @@
 
 /** Time within which the ends of all connections of a process that has ended arrive, also when a packet was lost once. Callers wait for it. */
 const PROCESS_END_MS = 250;
-/** Least time for which the signs of an end are looked for. */
-const MIN_SIGNS_MS = 20;
-/** Time until a lost silent connection is replaced, unless none was replaced at once for as long. A target may close idle ones. */
+/** Least time for which the end of a silent connection is waited for. */
+const MIN_WITNESS_MS = 20;
+/** Time until a lost silent connection is replaced. A target may close idle ones. */
 const RETRY_MS = 1000;
 
 /** Creates an empty set of watches. */
@@ -141,10 +141,10 @@
 		}
 	};
 
-	/** Replaces a lost connection: the first at once, since a target that stops listening resets those that it has not accepted yet. */
-	const scheduleConnection = (check: Check, {wasHeld}: {readonly wasHeld: boolean}) => {
+	/** Replaces a lost connection. One that was reset tells that the target may have stopped listening, which the next one finds out at once. */
+	const scheduleConnection = (check: Check, {wasReset}: ConnectionLoss) => {
 		const nowMs = performance.now();
-		const isAtOnce = wasHeld && nowMs - check.replacedAtMs >= RETRY_MS;
+		const isAtOnce = wasReset && nowMs - check.replacedAtMs >= RETRY_MS;
 		check.replacedAtMs = isAtOnce ? nowMs : check.replacedAtMs;
 		check.retryTimer = setTimeout(() => {
 			check.retryTimer = undefined;
@@ -155,18 +155,18 @@
 
 	const connectCheck = (check: Check) => {
 		check.connection = createSilentConnection({
-			address: check.address, onLost({wasHeld, isRefused}) {
+			address: check.address, onLost(loss) {
 				check.connection = undefined;
-				if (isRefused) {
+				if (loss.isRefused) {
 					recordRefusal(check.address);
 				}
 
-				if (wasHeld) {
+				if (loss.wasHeld) {
 					recordLoss(check);
 				}
 
-				if (!isRefused && checks.get(check.address) === check) {
-					scheduleConnection(check, {wasHeld});
+				if (!loss.isRefused && checks.get(check.address) === check) {
+					scheduleConnection(check, loss);
 				}
 			},
 		});
@@ -175,7 +175,7 @@
 	/** Finds out whether one of the silent connections outlives the end of an answer. */
 	const waitForWitness = async (check: Check, watcher: Watcher, {connection, waitMs}: {connection: SilentConnection | undefined; waitMs: number}): Promise<WitnessState> => {
 		const wasHeld = check.connection?.isHeld() === true;
-		const areOpen = await Promise.all([check.connection, connection].map(async silent => silent?.waitForClose(waitMs)));
+		const areOpen = await Promise.all([check.connection, connection].map(async silent => silent?.checkStaysOpen(waitMs)));
 		if (areOpen.includes(true)) {
 			return WITNESS_STATES.open;
 		}
@@ -216,9 +216,9 @@
 					watcher.isEnded = true;
 					const {hasOutlivedRefusal} = watcher;
 					const endsAtMs = performance.now() + withinMs;
-					const computeWaitMs = () => Math.max(MIN_SIGNS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
-					const isListening = await probeTarget(address, {delayMs: 0, timeoutMs: Math.max(MIN_SIGNS_MS, withinMs)});
-					const witness = isListening === false ? await waitForWitness(check, watcher, {connection, waitMs: computeWaitMs()}) : WITNESS_STATES.none;
+					const isListening = await probeTarget(address, {delayMs: 0});
+					const waitMs = Math.max(MIN_WITNESS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
+					const witness = isListening === false ? await waitForWitness(check, watcher, {connection, waitMs}) : WITNESS_STATES.none;
 					release(check, watcher);
 					return {isListening, hasOutlivedRefusal, witness};
 				},
--- a/packages/daemon/src/direct/probeTarget.ts
+++ b/packages/daemon/src/direct/probeTarget.ts
@@ -12,14 +12,14 @@
  * Checks whether a target accepts connections. Sends nothing.
  *
  * @param address - `ip:port`
- * @param options - `delayMs` is the wait before the connection is opened, `timeoutMs` the longest time for the target to accept or refuse it
+ * @param options - `delayMs` is the wait before the connection is opened
  * @returns undefined if the connection was neither accepted nor refused in time
  */
-export async function probeTarget(address: string, {delayMs = PROBE_DELAY_MS, timeoutMs = PROBE_TIMEOUT_MS}: {delayMs?: number; timeoutMs?: number} = {}): Promise<boolean | undefined> {
+export async function probeTarget(address: string, {delayMs = PROBE_DELAY_MS}: {delayMs?: number} = {}): Promise<boolean | undefined> {
 	const [host = '', port = ''] = address.split(':');
 	await wait(delayMs);
 	return new Promise(resolve => {
-		const socket = connect({host, port: Number(port), timeout: Math.min(timeoutMs, PROBE_TIMEOUT_MS)});
+		const socket = connect({host, port: Number(port), timeout: PROBE_TIMEOUT_MS});
 		const settle = (isListening: boolean | undefined) => {
 			resolve(isListening);
 			socket.destroy();
