Let both timers of a test of timeouts become due together

Cause: 'does not fire once it is cancelled' cancels by a second timer of the same length. The code is right. Change: the loop stands still until both are due, so that the cancel always comes between the timer and its end, which the name of the test asks for.

--- a/packages/runtime/src/__tests__/startTimeout.test.ts
+++ b/packages/runtime/src/__tests__/startTimeout.test.ts
@@ -6,6 +6,14 @@
 
 const BLOCKED_MS = 60;
 
+/** Lets the event loop stand still. */
+function blockLoop(): void {
+	const untilMs = performance.now() + BLOCKED_MS;
+	while (performance.now() < untilMs) {
+		// All timers that were started become due together.
+	}
+}
+
 /** Opens a connection whose other end sends a byte, and stands still until the byte and the timeout are both due. */
 async function receiveWhileBlocked(start: (onExpired: () => void, afterMs: number) => unknown): Promise<readonly string[]> {
 	const events: string[] = [];
@@ -26,11 +34,7 @@
 			resolve();
 		}, BLOCKED_MS / 2);
 	});
-	const untilMs = performance.now() + BLOCKED_MS;
-	while (performance.now() < untilMs) {
-		// The event loop stands still.
-	}
-
+	blockLoop();
 	await expired;
 	socket.destroy();
 	server.close();
@@ -47,12 +51,14 @@
 		const cancel = startTimeout(() => {
 			events.push('timeout');
 		}, 1);
-		await new Promise<void>(resolve => {
+		const cancelled = new Promise<void>(resolve => {
 			setTimeout(() => {
 				cancel();
 				resolve();
 			}, 1);
 		});
+		blockLoop();
+		await cancelled;
 		await new Promise(resolve => {
 			setTimeout(resolve, 20);
 		});
