--- a/packages/daemon/src/direct/createLeaveWitnesses.ts
+++ b/packages/daemon/src/direct/createLeaveWitnesses.ts
@@ -2,7 +2,7 @@
 
 /**
  * Silent connections to targets that have announced that they stop and still have requests. A target that stops listening
- * accepts none later. Its loss is no sign, since a target may close it when it stops listening.
+ * accepts none later. The loss of a connection is no sign, since a target may close it when it stops listening.
  */
 export type LeaveWitnesses = {
 	/**
