Complete a stream that its target has ended in one place

Cause: four ends of a call asked whether a target had ended the stream, and then completed it, which asked again. Change: completeClosedCall returns undefined if there is no such end, and its callers go on. Behaviour is the same.

--- a/packages/core/src/serving/callHandlers.ts
+++ b/packages/core/src/serving/callHandlers.ts
@@ -23,7 +23,7 @@
 import {recordAttemptSpeed} from './speedUpdates.js';
 import {mayEndInTime} from './stopHandlers.js';
 import {
-	beginConfirmation, beginRest, findClosedEnd, recordStreamEnd,
+	beginConfirmation, beginRest, recordStreamEnd,
 } from './streamEnds.js';
 import {recordStreamForm} from './streamForms.js';
 import {type CallArrived, holdTakeUp, mayConfirmVersion} from './streamTakeUps.js';
@@ -51,12 +51,10 @@
 			return [{type: 'call.startTimeout', callId, afterMs: call.lastTimeoutAtMs - nowMs}];
 		}
 
-		if (findClosedEnd(call) !== undefined) {
-			return completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.expired});
-		}
-
-		const effects = endCall(state, call, {nowMs, outcome: 'expired'});
-		return [...effects, createRefusal(call, ERROR_CODES.deadlineExceeded, OUTCOMES.refusedUnknown)];
+		return completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.expired}) ?? [
+			...endCall(state, call, {nowMs, outcome: 'expired'}),
+			createRefusal(call, ERROR_CODES.deadlineExceeded, OUTCOMES.refusedUnknown),
+		];
 	},
 	'attempt.began'(state, {callId, attemptId, nowMs, wallMs}) {
 		const call = state.calls.get(callId);
@@ -261,8 +259,9 @@
 			return [createAttemptRecord(call, 'failed', event), ...next.effects];
 		}
 
-		if (findClosedEnd(call) !== undefined) {
-			return [createAttemptRecord(call, 'failed', event), ...completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.failed})];
+		const completed = completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.failed});
+		if (completed !== undefined) {
+			return [createAttemptRecord(call, 'failed', event), ...completed];
 		}
 
 		return [
--- a/packages/core/src/serving/confirmationHandlers.ts
+++ b/packages/core/src/serving/confirmationHandlers.ts
@@ -8,5 +8,5 @@
 export const confirmationHandlers: HandlerTable<ServingState, ServingEvent, ServingEffect> = {
 	tick: (state, {nowMs}) => [...state.calls.values()]
 		.filter(call => nowMs >= (findClosedEnd(call)?.confirmUntilMs ?? Number.POSITIVE_INFINITY))
-		.flatMap(call => completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.late})),
+		.flatMap(call => completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.late}) ?? []),
 };
--- a/packages/core/src/serving/endCall.ts
+++ b/packages/core/src/serving/endCall.ts
@@ -61,10 +61,14 @@
 	return [...effects, {type: 'work.report'}];
 }
 
-/** Ends a stream as its target has ended it, although no other target has confirmed that. The caller has all of its events. */
-export function completeClosedCall(state: ServingState, call: ServingCall, {nowMs, confirmation}: {readonly nowMs: number; readonly confirmation: string}): readonly ServingEffect[] {
-	const answer = findClosedEnd(call)!;
-	return [
+/**
+ * Ends a stream as its target has ended it, although no other target has confirmed that. The caller has all of its events.
+ *
+ * @returns undefined if no target has ended it
+ */
+export function completeClosedCall(state: ServingState, call: ServingCall, {nowMs, confirmation}: {readonly nowMs: number; readonly confirmation: string}): readonly ServingEffect[] | undefined {
+	const answer = findClosedEnd(call);
+	return answer && [
 		...clearSuspicion(state, call, nowMs),
 		...endCall(state, call, {
 			nowMs, outcome: 'answered', answer, confirmation,
--- a/packages/core/src/serving/refuseCall.ts
+++ b/packages/core/src/serving/refuseCall.ts
@@ -8,16 +8,13 @@
 import {DEFAULT_RETRY_AFTER_MS, type Refusal} from './planAttempt.js';
 import {type ServingEffect} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
-import {findClosedEnd} from './streamEnds.js';
 
 /** Why no further attempt is made. */
 export type ExhaustedEnd = {readonly code: ErrorCode; readonly refusal: Refusal | undefined};
 
 /** Ends a call for which no further attempt is made. A stream that its target has ended is complete. */
 export function endExhaustedCall(state: ServingState, call: ServingCall, nowMs: number, end: ExhaustedEnd): readonly ServingEffect[] {
-	return findClosedEnd(call) === undefined
-		? refuseExhaustedCall(state, call, nowMs, end)
-		: completeClosedCall(state, call, {nowMs, confirmation: end.code});
+	return completeClosedCall(state, call, {nowMs, confirmation: end.code}) ?? refuseExhaustedCall(state, call, nowMs, end);
 }
 
 /** Refuses a call. The outcome is "not run" only if no attempt can have run. */
--- a/packages/core/src/serving/stopHandlers.ts
+++ b/packages/core/src/serving/stopHandlers.ts
@@ -11,7 +11,6 @@
 import {createRefusal} from './refuseCall.js';
 import {type ServingEffect, type ServingEvent} from './servingMessages.js';
 import {type ServingCall, type ServingState} from './servingState.js';
-import {findClosedEnd} from './streamEnds.js';
 
 /**
  * Returns whether a call may be taken although a stop was requested: its timeout ends before the entry does.
@@ -34,8 +33,9 @@
 
 /** Answers a call that is not over when the entry ends. It is said not to have run only if no target can have run it. */
 function endUnfinishedCall(state: ServingState, call: ServingCall, nowMs: number): readonly ServingEffect[] {
-	if (findClosedEnd(call) !== undefined) {
-		return completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.stopped});
+	const completed = completeClosedCall(state, call, {nowMs, confirmation: CONFIRMATION_ENDS.stopped});
+	if (completed !== undefined) {
+		return completed;
 	}
 
 	advanceRequest(call, {type: call.attempt?.isPrefillOnly === true ? 'failNotRun' : 'failUnknown'});
