Derive what a watch of a target knows of a lost connection

Cause: three fields told one thing (when the connection was lost, that it was, that this is observed); the end of a call went from a time to a remainder and back; requests were told apart by a function around a function; one failure was built at two places. Change: one field, one time, objects, one constant. Behaviour is the same. Result: createTargetWatches 17 and createLeaveWitnesses 5 tests pass with the same assertions.

--- a/packages/daemon/src/direct/createCallerServer.ts
+++ b/packages/daemon/src/direct/createCallerServer.ts
@@ -66,6 +66,7 @@
 const OVERLOAD_RETRY_AFTER_MS = 600;
 /** Retry delay sent to a caller that ended its sending side before its request was passed on. */
 const ABANDONED_RETRY_AFTER_MS = 10;
+const REQUEST_ABANDONED = createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS});
 /** Characters of a fingerprint: 72 bits, so that no two requests of a day collide. */
 const FINGERPRINT_LENGTH = 12;
 /** Interval between checks for connections that exceed the header timeout. */
@@ -195,7 +196,7 @@
 			const isSent = handle?.cancelAttempt !== undefined;
 			refuseUnread(response, ports, isSent
 				? createFailure(ERROR_CODES.answerAbandoned, {outcome: OUTCOMES.refusedUnknown})
-				: createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+				: REQUEST_ABANDONED);
 		});
 		reading.add(response);
 		response.on('close', () => {
@@ -292,7 +293,7 @@
 			const held = throttle.findReader(socket)?.findHeld();
 			if (held?.isWhole === true && connections.countOpen(socket) === 0) {
 				onHeadRefused(held);
-				refuseHeld(held, createFailure(ERROR_CODES.requestAbandoned, {retryAfterMs: ABANDONED_RETRY_AFTER_MS}));
+				refuseHeld(held, REQUEST_ABANDONED);
 			}
 		});
 	});
--- a/packages/daemon/src/direct/createLeaveWitnesses.ts
+++ b/packages/daemon/src/direct/createLeaveWitnesses.ts
@@ -26,8 +26,8 @@
 };
 
 type LeavingTarget = {
-	/** Whether the target of each request has announced that it stops. Several incarnations may share an address. */
-	readonly requests: Set<() => boolean>;
+	/** Requests, with whether the target of each has announced that it stops. Several incarnations may share an address. */
+	readonly requests: Set<{readonly isLeaving: () => boolean}>;
 	connection: SilentConnection | undefined;
 };
 
@@ -46,10 +46,9 @@
 	return {
 		add(address, isLeaving) {
 			const target = targets.get(address) ?? {requests: new Set(), connection: undefined};
-			// Requests are told apart by a function of their own.
-			const checkLeaving = () => isLeaving();
+			const request = {isLeaving};
 			targets.set(address, target);
-			target.requests.add(checkLeaving);
+			target.requests.add(request);
 			if (isLeaving()) {
 				hold(address, target);
 			}
@@ -57,7 +56,7 @@
 			return {
 				getConnection: () => target.connection,
 				release() {
-					target.requests.delete(checkLeaving);
+					target.requests.delete(request);
 					if (target.requests.size === 0 && targets.get(address) === target) {
 						targets.delete(address);
 						target.connection?.destroy();
@@ -67,7 +66,7 @@
 		},
 		holdLeaving() {
 			for (const [address, target] of targets) {
-				if (target.connection === undefined && [...target.requests].some(isLeaving => isLeaving())) {
+				if (target.connection === undefined && [...target.requests].some(({isLeaving}) => isLeaving())) {
 					hold(address, target);
 				}
 			}
--- a/packages/daemon/src/direct/createTargetWatches.ts
+++ b/packages/daemon/src/direct/createTargetWatches.ts
@@ -17,8 +17,8 @@
 
 /** Options of {@link TargetWatch.findSigns}. */
 export type FindSignsOptions = {
-	/** Time for which the end of a silent connection is waited for at most. */
-	readonly withinMs?: number;
+	/** Monotonic time until which the end of a silent connection is waited for at most. */
+	readonly untilMs?: number;
 	/** Another silent connection to the target. It counts if it stays open. */
 	readonly connection?: SilentConnection | undefined;
 };
@@ -42,11 +42,8 @@
 type Watcher = {
 	isRefusalObserved: boolean;
 	hasOutlivedRefusal: boolean;
-	isLossObserved: boolean;
-	/** Whether the silent connection has closed, and it is not known yet whether the process lives on. */
-	isWitnessLost: boolean;
-	/** Monotonic time. */
-	lostAtMs: number;
+	/** Monotonic time at which the silent connection closed last, while it is not known whether the process lives on. */
+	lostAtMs: number | undefined;
 	isPaused: boolean;
 	pauseCount: number;
 	isEnded: boolean;
@@ -106,11 +103,9 @@
 
 	const observeLoss = (address: string, watcher: Watcher) => {
 		const {lostAtMs} = watcher;
-		watcher.isLossObserved = true;
 		observe(address, watcher, () => {
 			if (watcher.lostAtMs === lostAtMs) {
-				watcher.isWitnessLost = false;
-				watcher.isLossObserved = false;
+				watcher.lostAtMs = undefined;
 			} else {
 				observeLoss(address, watcher);
 			}
@@ -119,9 +114,9 @@
 
 	const recordLoss = ({address, watchers}: Check) => {
 		for (const watcher of watchers) {
-			watcher.isWitnessLost = true;
+			const isObserved = watcher.lostAtMs !== undefined;
 			watcher.lostAtMs = performance.now();
-			if (!watcher.isLossObserved) {
+			if (!isObserved) {
 				observeLoss(address, watcher);
 			}
 		}
@@ -180,7 +175,7 @@
 			return WITNESS_STATES.open;
 		}
 
-		return wasHeld || watcher.isWitnessLost ? WITNESS_STATES.closed : WITNESS_STATES.none;
+		return wasHeld || watcher.lostAtMs !== undefined ? WITNESS_STATES.closed : WITNESS_STATES.none;
 	};
 
 	return {
@@ -193,9 +188,7 @@
 			const watcher: Watcher = {
 				isRefusalObserved: false,
 				hasOutlivedRefusal: false,
-				isLossObserved: false,
-				isWitnessLost: false,
-				lostAtMs: Number.NEGATIVE_INFINITY,
+				lostAtMs: undefined,
 				isPaused: false,
 				pauseCount: 0,
 				isEnded: false,
@@ -212,12 +205,11 @@
 					watcher.pauseCount += isPaused ? 1 : 0;
 					watcher.isPaused = isPaused;
 				},
-				async findSigns({withinMs = Number.POSITIVE_INFINITY, connection} = {}) {
+				async findSigns({untilMs = Number.POSITIVE_INFINITY, connection} = {}) {
 					watcher.isEnded = true;
 					const {hasOutlivedRefusal} = watcher;
-					const endsAtMs = performance.now() + withinMs;
 					const isListening = await probeTarget(address, {delayMs: 0});
-					const waitMs = Math.max(MIN_WITNESS_MS, Math.min(PROCESS_END_MS, endsAtMs - performance.now()));
+					const waitMs = Math.max(MIN_WITNESS_MS, Math.min(PROCESS_END_MS, untilMs - performance.now()));
 					const witness = isListening === false ? await waitForWitness(check, watcher, {connection, waitMs}) : WITNESS_STATES.none;
 					release(check, watcher);
 					return {isListening, hasOutlivedRefusal, witness};
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -355,7 +355,7 @@
 	const endClosedResponse = async () => {
 		// A registration that is removed later may be that of a process that has ended.
 		const isLeaving = isTargetLeaving();
-		const signs = await watch!.findSigns({withinMs: endsAtMs - performance.now() - END_MARGIN_MS, connection: witness?.getConnection()});
+		const signs = await watch!.findSigns({untilMs: endsAtMs - END_MARGIN_MS, connection: witness?.getConnection()});
 		if (isFinished) {
 			return;
 		}
