--- a/packages/daemon/src/direct/__tests__/createLeaveWitnesses.test.ts
+++ b/packages/daemon/src/direct/__tests__/createLeaveWitnesses.test.ts
@@ -1,43 +1,23 @@
 import assert from 'node:assert/strict';
-import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createLeaveWitnesses} from '../createLeaveWitnesses.js';
 import {createTargetWatches} from '../createTargetWatches.js';
+import {startListeningTarget} from './startListeningTarget.js';
 
 const SETTLE_MS = 100;
 const isLeaving = () => true;
 const isStaying = () => false;
 
-/** Listens like a target and keeps what connects to it. */
+/** Starts a target and what watches it. */
 async function startTarget(context: TestContext) {
-	const sockets = new Set<Socket>();
-	const server = createServer(socket => {
-		sockets.add(socket);
-		socket.resume();
-		socket.on('close', () => {
-			sockets.delete(socket);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const closeSockets = () => {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-	};
-
 	const [witnesses, watches] = [createLeaveWitnesses(), createTargetWatches({hasUnread: () => false})];
 	context.after(() => {
 		witnesses.close();
 		watches.close();
-		closeSockets();
-		server.close();
 	});
-	return {
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sockets, server, closeSockets, witnesses, watches,
-	};
+	return {...await startListeningTarget(context), witnesses, watches};
 }
 
 describe('witnesses of targets that leave', () => {
--- a/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
+++ b/packages/daemon/src/direct/__tests__/createTargetWatches.test.ts
@@ -1,35 +1,19 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import process from 'node:process';
 import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import {createTargetWatches} from '../createTargetWatches.js';
+import {startListeningTarget} from './startListeningTarget.js';
 
 const SETTLE_MS = 100;
 /** Longer than a process needs to end all of its connections. */
 const OUTLIVED_MS = 400;
 
-/** Listens like a target and keeps what connects to it. */
+/** Starts a target and what watches it. */
 async function startTarget(context: TestContext) {
-	const sockets = new Set<Socket>();
-	const server = createServer(socket => {
-		sockets.add(socket);
-		socket.resume();
-		socket.on('close', () => {
-			sockets.delete(socket);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const closeSockets = () => {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-	};
-
 	let unread = false;
 	let unreadChecks = 0;
 	const watches = createTargetWatches({
@@ -40,14 +24,9 @@
 	});
 	context.after(() => {
 		watches.close();
-		closeSockets();
-		server.close();
 	});
 	return {
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-		sockets,
-		server,
-		closeSockets,
+		...await startListeningTarget(context),
 		watches,
 		setUnread(isUnread: boolean) {
 			unread = isUnread;
@@ -277,7 +256,7 @@
 		await wait(SETTLE_MS);
 		server.close();
 		const beganAtMs = performance.now();
-		const {witness} = await watch.findSigns({withinMs: SETTLE_MS});
+		const {witness} = await watch.findSigns({untilMs: beganAtMs + SETTLE_MS});
 		assert.equal(witness, 'open');
 		assert.ok(performance.now() - beganAtMs < 2 * SETTLE_MS);
 	});
