--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,9 +1,10 @@
-/** A worker ends in the middle of an answer without a length and is back before the entry, which stood still, reads the end. */
+/** A worker is cut off in the middle of an answer without a length, ends behind the cut and starts again there before the cut heals. */
 import {fileURLToPath} from 'node:url';
 import {EXIT_CODES, HAS_TROUBLE, createConfiguration, startCase} from '../support-2/harness.js';
+import {startPath} from '../support-2/proxy.js';
 
-/** For how long the entry stands still, and after which time the worker is back. */
-const FROZEN_MS = 1600;
+/** How long the cut lasts, and after which time in it the worker is started again. */
+const CUT_MS = 1600;
 const DOWN_MS = 1000;
 const WHOLE_BODY = 'permit {id} granted; valid until the end of the month; signed by the water authority';
 const HALF = WHOLE_BODY.length / 2;
@@ -15,22 +16,29 @@
 	{path: '/book/', isFramed: false, parts: [WHOLE_BODY.slice(0, HALF), WHOLE_BODY.slice(HALF)], pauseMs: 800, workMs: 20},
 ];
 store.put('config', 'main', createConfiguration());
-const first = await startWorker({id: 'i-7f3a91c2', service: 'plain', rules});
+const first = await startWorker({
+	id: 'i-7f3a91c2', service: 'plain', rules, createPath: startPath,
+});
 const entry = await startEntry({node: 'front-1'});
 await waitUntil(async () => (await call(entry, '/look/ready')).status === 200, 5000, 'a request is served');
 
 const requestId = '9c41d07be2a35f68';
 const answer = call(entry, '/book/permit', {requestId});
-await waitUntil(() => first.events.some(({event, part, requestId: id}) => event === 'sent' && part === 1 && id === requestId), 2000, 'half of the answer is sent');
+await waitUntil(() => first.has('sent', requestId), 2000, 'half of the answer is sent');
 await wait(100);
 if (HAS_TROUBLE) {
-	signal(entry.child, 'SIGSTOP', 'the entry');
-	await wait(50);
+	first.path.cut();
+	record('the worker is cut off');
+	await wait(100);
 	signal(first.child, 'SIGKILL', 'the worker');
 	await wait(DOWN_MS);
-	await startWorker({id: 'i-02d9e6b4', service: 'plain', rules, port: first.port});
-	await wait(FROZEN_MS - DOWN_MS);
-	signal(entry.child, 'SIGCONT', 'the entry');
+	await startWorker({
+		id: 'i-02d9e6b4', service: 'plain', rules, port: first.port, createPath: () => first.path,
+	});
+	store.remove('servers', first.id);
+	await wait(CUT_MS - DOWN_MS);
+	first.path.heal();
+	record('the cut heals');
 }
 
 const {status, stamp, body, isComplete} = await answer;
--- a/review/support-2/harness.js
+++ b/review/support-2/harness.js
@@ -194,10 +194,10 @@
 		}
 	};
 
-	/** Starts a worker and registers it in the store. */
-	const startWorker = async ({id, service, stage, rules, ip = '127.0.0.1', port = 0, isRegistered = true}) => {
+	/** Starts a worker and registers it in the store, behind the path that `createPath` makes for its port. */
+	const startWorker = async ({id, service, stage, rules, idleMs, ip = '127.0.0.1', port = 0, createPath}) => {
 		const child = spawnChild(id, [process.execPath, WORKER, JSON.stringify({
-			id, ip, port, rules,
+			id, ip, port, idleMs, rules,
 		})], {cwd: directory});
 		const events = [];
 		const worker = {id, child, events, has: (event, requestId) => events.some(entry => entry.event === event && entry.requestId === requestId)};
@@ -214,14 +214,12 @@
 		});
 		await waitUntil(() => events.some(({event}) => event === 'listening'), 5000, `worker ${id}`);
 		worker.port = events[0].port;
+		worker.path = await createPath?.(worker.port);
 		worker.registration = {
-			Service: service, Address: `${ip}:${worker.port}`, Zone: 'zone-a', Version: 'v1', Slots: 6, State: 'ready', ColdRemainingMs: 0, Seq: 0, born: Date.now(), ...(stage !== undefined && {Stage: stage}),
+			Service: service, Address: `${ip}:${worker.path?.port ?? worker.port}`, Zone: 'zone-a', Version: 'v1', Slots: 6, State: 'ready', ColdRemainingMs: 0, Seq: 0, born: Date.now(), ...(stage !== undefined && {Stage: stage}),
 		};
-		if (isRegistered) {
-			store.put('servers', id, worker.registration);
-			record('registered', {id});
-		}
-
+		store.put('servers', id, worker.registration);
+		record('registered', {id});
 		return worker;
 	};
 
--- a/review/support-2/worker.js
+++ b/review/support-2/worker.js
@@ -1,12 +1,13 @@
 /**
- * Stand-in of a worker, a process of its own. Its argument is JSON: `id`, `ip`, `port`, and `rules`, of which the first whose
- * `path` begins the path of a request says how it is answered. Prints a line of JSON for each thing that it does.
+ * Stand-in of a worker, a process of its own. Its argument is JSON: `id`, `ip`, `port`, `idleMs` after which it closes a channel
+ * without a request, and `rules`, of which the first whose `path` begins the path of a request says how it is answered. Prints a
+ * line of JSON for each thing that it does.
  */
 import {createServer} from 'node:net';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 
-const {id, ip = '127.0.0.1', port = 0, rules = []} = JSON.parse(process.argv[2]);
+const {id, ip = '127.0.0.1', port = 0, idleMs = 5000, rules = []} = JSON.parse(process.argv[2]);
 
 function tell(event, detail) {
 	process.stdout.write(`${JSON.stringify({event, worker: id, ...detail})}\n`);
@@ -80,6 +81,11 @@
 	const held = {text: ''};
 	let isBusy = false;
 	socket.setNoDelay(true);
+	socket.setTimeout(idleMs, () => {
+		if (!isBusy) {
+			socket.end();
+		}
+	});
 	socket.on('error', () => socket.destroy());
 	socket.on('data', async bytes => {
 		held.text += bytes.toString('latin1');
