--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,7 +1,9 @@
 /** Another writer puts one entry of kind `servers` into the store whose field has another type. Every process of the system ends. */
 import {Agent} from 'node:http';
 import {fileURLToPath} from 'node:url';
-import {EXIT_CODES, HAS_TROUBLE, createConfiguration, startCase} from '../support-2/harness.js';
+import {
+	EXIT_CODES, HAS_TROUBLE, createConfiguration, startCase,
+} from '../support-2/harness.js';
 
 const VALUE_BYTES = 1_048_576;
 /** Digits in the list that stands where a list of models is expected. */
@@ -15,7 +17,7 @@
 const WATCHED_MS = 12_000;
 
 const run = await startCase(fileURLToPath(new URL('.', import.meta.url)));
-const {store, startWorker, startEntry, call, waitUntil, end, wait, record} = run;
+const {store, startWorker, startEntry, call, waitUntilServed, end, wait, record} = run;
 const rules = [{path: '/look/', workMs: 5}, {path: '/book/', workMs: 1200}];
 store.put('config', 'main', createConfiguration());
 const workers = await Promise.all(Array.from({length: 4}, async (_, index) => startWorker({id: `i-7f3a91c${index}`, service: 'plain', rules})));
@@ -23,8 +25,10 @@
 const agents = entries.map(() => new Agent({keepAlive: true}));
 const callAll = async (route, prefix) => Promise.all(entries.flatMap((entry, index) => Array.from({length: IN_PROGRESS}, async (_, number) =>
 	call(entry, route, {agent: agents[index], requestId: `${prefix}${index}${number}41d07be2a35f`}))));
-const isServed = async () => (await Promise.all(entries.map(async entry => call(entry, '/look/ready')))).every(({status}) => status === 200);
-await waitUntil(isServed, 5000, 'requests are served');
+for (const entry of entries) {
+	await waitUntilServed(entry);
+}
+
 const kept = await callAll('/look/permit', 'a1');
 if (kept.some(({status}) => status !== 200)) {
 	end(EXIT_CODES.notRun, 'the channels could not be opened');
@@ -52,6 +56,7 @@
 }
 
 // These go through the channels that the requests before them have left open.
+// eslint-disable-next-line unicorn/prefer-top-level-await
 const answers = callAll('/book/permit', '9c');
 const hasRun = ({requestId}) => workers.some(worker => worker.has('run', requestId));
 await wait(400);
@@ -66,12 +71,17 @@
 	record('another writer has put an entry', {bytes});
 }
 
-const lost = (await answers).filter(answer => answer.status === 0 && hasRun(answer));
+const given = await answers;
+const lost = given.filter(answer => answer.status === 0 && hasRun(answer));
 record('passed on and closed without an answer', {requestIds: lost.map(({requestId}) => requestId)});
 await wait(HAS_TROUBLE ? WATCHED_MS : 500);
 isWatching = false;
 const after = await Promise.all(entries.map(async entry => call(entry, '/look/after')));
-const summary = `${lost.length} of ${2 * IN_PROGRESS} requests passed on and closed without an answer; processes that ended by themselves: ${JSON.stringify(Object.fromEntries(ends))}; afterwards: ${after.map(({status}) => status).join(', ')}`;
+const summary = [
+	`${lost.length} of ${2 * IN_PROGRESS} requests passed on and closed without an answer`,
+	`processes that ended by themselves: ${JSON.stringify(Object.fromEntries(ends))}`,
+	`afterwards: ${after.map(({status}) => status).join(', ')}`,
+].join('; ');
 if (lost.length > MAX_LOST) {
 	end(EXIT_CODES.broken, `LOST: ${summary}`);
 } else {
--- a/review/support-2/worker.js
+++ b/review/support-2/worker.js
@@ -47,7 +47,9 @@
 
 	const rule = rules.find(({path: prefix}) => path.startsWith(prefix)) ?? {};
 	const {status = 200, parts = [`done ${requestId}`], type = 'text/plain', pauseMs = 0, workMs = 5, isFramed = true, extraHeaders = ''} = rule;
-	tell('run', {requestId, method, path, bodyBytes: body.length, tenant: headers['x-tenant'], resumesAt: headers['last-event-id']});
+	tell('run', {
+		requestId, method, path, bodyBytes: body.length, tenant: headers['x-tenant'], resumesAt: headers['last-event-id'],
+	});
 	await wait(workMs);
 	if (socket.destroyed) {
 		return;
