--- a/review/support-2/harness.js
+++ b/review/support-2/harness.js
@@ -48,7 +48,7 @@
 }
 
 /** Builds the settings file of an entry. The bounds are those of the sheet of the small deployment. */
-function formatSettings({node, ip, ports, storeAddress}) {
+function formatSettings({node, ip, ports, memoryMb, storeAddress}) {
 	return `Node = "${node}"
 Role = "entry"
 MachineClass = "front"
@@ -66,7 +66,7 @@
 Readiness = "${ip}:${ports.readiness}"
 
 [Limits]
-MemoryMb = 350
+MemoryMb = ${memoryMb}
 MaxFds = 4100
 
 [Bounds]
@@ -235,11 +235,11 @@
 	};
 
 	/** Starts an entry with the command of the deploy file. It is waited for unless it is started again. */
-	const startEntry = async ({node, ip = '127.0.0.1', ports, isAgain = false}) => {
+	const startEntry = async ({node, ip = '127.0.0.1', ports, memoryMb = 350, isAgain = false}) => {
 		const usedPorts = ports ?? {front: await findFreePort(ip), readiness: await findFreePort(ip), inner: await findFreeUdpPort(ip)};
 		const file = path.join(directory, `${node}.toml`);
 		writeFileSync(file, formatSettings({
-			node, ip, ports: usedPorts, storeAddress: store.address,
+			node, ip, ports: usedPorts, memoryMb, storeAddress: store.address,
 		}));
 		const child = spawnChild(node, ['node', '--max-old-space-size=160', 'target/entry.mjs', 'deploy/entry.jsonc'], {
 			cwd: ROOT, env: {PATH: process.env.PATH, HOME: process.env.HOME, DAMASKSPOOL_NODE_FILE: file},
@@ -318,6 +318,11 @@
 	}, 5000, `${entry.node} serves a request`);
 
 	return {
+		/** Ends a process with the case. */
+		addProcess(child) {
+			processes.add(child);
+			child.on('exit', () => processes.delete(child));
+		},
 		store, record, startWorker, startEntry, call, signal, waitUntil, waitUntilServed, end, wait, directory,
 	};
 }
--- a/review/support-2/store.js
+++ b/review/support-2/store.js
@@ -3,6 +3,8 @@
 import {createServer} from 'node:http';
 
 const PAGE_SIZE = 500;
+/** Time after which a watch that waits may be cut off. */
+const CUT_AFTER_MS = 1000;
 const PATH = /^\/damaskspool\/objects\/(?<kind>[^\/?]+)(?:\/(?<name>[^?]+))?(?:\?(?<query>.*))?$/v;
 
 /** Starts the stand-in on a free port of 127.0.0.1. */
@@ -20,8 +22,8 @@
 		era: 0,
 		/** Drops every connection as long as it is set. */
 		isAway: false,
-		/** Decides what becomes of a write: its result is awaited before the write is done. */
-		beforeWrite: undefined,
+		/** Decides for each watch that begins to wait whether it is cut off after `CUT_AFTER_MS` if nothing has changed. */
+		isWatchCut: () => false,
 		get: (kind, name) => objects.get(`${kind}/${name}`),
 	};
 
@@ -53,6 +55,7 @@
 
 	const watch = async (kind, since, waitMs) => {
 		const find = () => changes.filter(entry => entry.kind === kind && entry.revision > since).map(({event}) => event);
+		const isCut = find().length === 0 && waitMs > CUT_AFTER_MS && store.isWatchCut(kind);
 		if (find().length === 0) {
 			await new Promise(resolve => {
 				const watcher = {
@@ -63,17 +66,16 @@
 						resolve();
 					},
 				};
-				watcher.timer = setTimeout(watcher.wake, waitMs);
+				watcher.timer = setTimeout(watcher.wake, isCut ? CUT_AFTER_MS : waitMs);
 				watchers.add(watcher);
 			});
 		}
 
-		return {events: find(), AsOf: revision};
+		return isCut && find().length === 0 ? undefined : {events: find(), AsOf: revision};
 	};
 
 	const write = async (method, kind, body) => {
 		const {Metadata: {Name: name, Revision: expected}, Spec: spec} = body;
-		await store.beforeWrite?.(kind, name, spec);
 		const existing = objects.get(`${kind}/${name}`);
 		if (method === 'POST' && existing !== undefined) {
 			return [409, existing];
@@ -130,7 +132,8 @@
 		}
 
 		const [status, answer] = await handle(request, chunks.length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString('utf8')));
-		if (store.isAway) {
+		// A watch that is cut off has no answer.
+		if (store.isAway || answer === undefined) {
 			response.destroy();
 			return;
 		}
--- a/review/support-2/worker.js
+++ b/review/support-2/worker.js
@@ -69,7 +69,9 @@
 		}
 
 		socket.write(part);
-		tell('sent', {requestId, part: index + 1, parts: filled.length});
+		if (filled.length > 1) {
+			tell('sent', {requestId, part: index + 1, parts: filled.length});
+		}
 	}
 
 	if (!isFramed) {
