--- a/review/10/case.js
+++ b/review/10/case.js
@@ -1,54 +1,84 @@
-/** A worker says that it leaves and is gone two seconds later, in the middle of an answer without a length. */
+/** Workers leave without a word while the store cuts off some of the watches that wait. They get new requests until they end. */
 import {fileURLToPath} from 'node:url';
 import {
 	EXIT_CODES, HAS_TROUBLE, createConfiguration, startCase,
 } from '../support-2/harness.js';
 
-/** Time from the notice until the worker is gone. */
-const NOTICE_MS = 2000;
-/** Workers of the service. One leaves, which is less than the share on the sheet. */
 const WORKERS = 8;
-/** Time after which the workers close channels without a request. */
-const IDLE_MS = 300;
-/** Pieces of the answer, with a pause between two. The worker sends the whole of it in 2.8 s. */
-const PIECES = Array.from({length: 8}, (_, index) => `line ${index + 1} of 8 of the booking {id}\n`);
-const PAUSE_MS = 400;
-const DEADLINE_MS = 4000;
+/** Workers that leave, one after the other, each replaced before. */
+const LEAVES = 7;
+const LEAVE_GAP_MS = 7000;
+/** The bound of the rule, and for how much longer a worker serves whose entry was removed. */
+const DRAIN_MS = 2000;
+const LONGER_MS = 600;
+/** One watch in so many is cut off. */
+const CUT_ONE_IN = 3;
+const CLUMP = 16;
+const CLUMP_GAP_MS = 300;
 
 const run = await startCase(fileURLToPath(new URL('.', import.meta.url)));
-const {store, startWorker, startEntry, call, signal, waitUntil, waitUntilServed, end, wait, record} = run;
-const rules = [
-	{path: '/look/', workMs: 5},
-	{
-		path: '/book/', isFramed: false, parts: PIECES, pauseMs: PAUSE_MS, workMs: 20,
-	},
-];
-store.put('config', 'main', createConfiguration(7, {TimeoutMs: DEADLINE_MS}));
-const workers = await Promise.all(Array.from({length: WORKERS}, async (_, index) => startWorker({
-	id: `i-7f3a91c${index}`, service: 'plain', idleMs: IDLE_MS, rules,
-})));
+const {store, startWorker, startEntry, call, signal, waitUntilServed, end, wait, record} = run;
+const rules = [{path: '/look/', workMs: 5}, {path: '/book/', workMs: 180}];
+store.put('config', 'main', createConfiguration());
+const workers = await Promise.all(Array.from({length: WORKERS}, async (_, index) => startWorker({id: `i-7f3a91c${index}`, service: 'plain', rules})));
 const entry = await startEntry({node: 'front-1'});
 await waitUntilServed(entry);
 
-const requestId = '9c41d07be2a35f68';
-const answer = call(entry, '/book/permit', {requestId, deadlineMs: DEADLINE_MS});
-const findWorker = () => workers.find(worker => worker.has('sent', requestId));
-await waitUntil(() => findWorker() !== undefined, 2000, 'the answer has begun');
-const leaving = findWorker();
+let watchCount = 0;
+let cutCount = 0;
 if (HAS_TROUBLE) {
-	store.put('servers', leaving.id, {...leaving.registration, State: 'draining', Seq: 1});
-	record('worker is draining', {id: leaving.id});
-	await wait(NOTICE_MS);
-	signal(leaving.child, 'SIGKILL', 'the worker, which is gone after its notice');
-	store.remove('servers', leaving.id);
+	store.isWatchCut = kind => {
+		watchCount += 1;
+		const isCut = watchCount % CUT_ONE_IN === 0;
+		if (isCut) {
+			cutCount += 1;
+			record('a watch will be cut off', {kind});
+		}
+
+		return isCut;
+	};
+}
+
+const sentAtMs = new Map();
+const answers = [];
+let clumpCount = 0;
+const timer = setInterval(() => {
+	clumpCount += 1;
+	for (let number = 0; number < CLUMP; number += 1) {
+		const requestId = `9c${clumpCount.toString(16).padStart(4, '0')}${number.toString(16)}41d07be2a`;
+		sentAtMs.set(requestId, performance.now());
+		answers.push(call(entry, '/book/permit', {requestId}));
+	}
+}, CLUMP_GAP_MS);
+
+const gone = [];
+await wait(3000);
+for (let index = 0; index < LEAVES; index += 1) {
+	await startWorker({id: `i-02d9e6b${index}`, service: 'plain', rules});
+	await wait(1000);
+	const worker = workers[index];
+	store.remove('servers', worker.id);
+	gone.push({worker, removedAtMs: performance.now()});
+	record('the entry of a worker is removed', {id: worker.id});
+	await wait(DRAIN_MS + LONGER_MS);
+	signal(worker.child, 'SIGTERM', `${worker.id}, which ends`);
+	await wait(LEAVE_GAP_MS - DRAIN_MS - LONGER_MS - 1000);
 }
 
-const {status, stamp, body, isComplete} = await answer;
-const whole = PIECES.join('').replaceAll('{id}', requestId);
-const isBroken = status >= 200 && status < 300 && isComplete && body !== whole;
-record('entry log', {lines: entry.log.filter(line => line.includes(requestId))});
-if (isBroken) {
-	end(EXIT_CODES.broken, `MIXED: a success (${status}, ${stamp}) that looks complete with ${body.length} of ${whole.length} bytes of the worker's body`);
+clearInterval(timer);
+const given = await Promise.all(answers);
+const late = gone.flatMap(({worker, removedAtMs}) => worker.events.filter(({event, requestId}) => event === 'run' && sentAtMs.get(requestId) > removedAtMs + DRAIN_MS)
+	.map(({requestId}) => ({requestId, worker: worker.id, afterMs: Math.round(sentAtMs.get(requestId) - removedAtMs)})));
+const lateIds = new Set(late.map(({requestId}) => requestId));
+const lost = given.filter(({requestId, status}) => lateIds.has(requestId) && status !== 200);
+record('sent later than the bound', {late});
+const summary = [
+	`${late.length} of ${given.length} bookings sent later than ${DRAIN_MS} ms after the removal reached the worker`,
+	`${lost.length} of them were cut off by its end`,
+	`${cutCount} of ${watchCount} watches were cut off`,
+].join('; ');
+if (late.length > 0) {
+	end(EXIT_CODES.broken, `DRAIN: ${summary}`);
 } else {
-	end(EXIT_CODES.held, `held: status ${status}, complete: ${isComplete}, ${body?.length ?? 0} of ${whole.length} bytes`);
+	end(EXIT_CODES.held, `held: ${summary}`);
 }
