Bound what a malformed object of another writer costs

Cause: the schemas keep an issue for each element that does not match, and a message was made of all issues. The configuration, objects shared by entries and messages between entries were checked in the same way. Besides, all objects of a reply, and all pages of a list, were parsed before the first one was looked at, so that many odd objects end a process that bears one.

Change: createListSchema and createRecordSchema stop after 20 issues and stand in place of z.array and z.record, which the linter now refuses. Messages have at most 500 characters. The elements of a reply are parsed and converted one at a time, with turns for other work. Lines about malformed objects are written once for an object that stays as it is, and few for many at once.

--- a/packages/bench/src/harness/deploymentFile.ts
+++ b/packages/bench/src/harness/deploymentFile.ts
@@ -1,6 +1,6 @@
 import path from 'node:path';
 import {formatProblem, readSettings} from '@damaskspool/runtime';
-import {configurationDocumentSchema, type ConfigurationDocument} from '@damaskspool/shared';
+import {configurationDocumentSchema, type ConfigurationDocument, createListSchema} from '@damaskspool/shared';
 import {z} from 'zod';
 
 const rangeSchema = z.tuple([z.number().int().nonnegative(), z.number().int().positive()]);
@@ -9,7 +9,7 @@
 	service: z.string(),
 	kind: z.enum(['engine', 'plain']),
 	count: z.number().int().positive(),
-	models: z.array(z.string()),
+	models: createListSchema(z.string()),
 	concurrency: z.number().int().positive(),
 	pieces: z.number().int().nonnegative(),
 	queueLimit: z.number().int().nonnegative(),
@@ -31,15 +31,15 @@
 export const deploymentSchema = z.strictObject({
 	name: z.string(),
 	region: z.string(),
-	availabilityZones: z.array(z.string()).min(1),
+	availabilityZones: createListSchema(z.string(), {minLength: 1}),
 	/** Availability zone of each entry. */
-	entries: z.array(z.string()).min(1),
-	pools: z.array(poolSchema),
+	entries: createListSchema(z.string(), {minLength: 1}),
+	pools: createListSchema(poolSchema),
 	/** File name of the configuration document, in the same folder. */
 	configuration: z.string(),
-	customers: z.array(z.strictObject({customer: z.string(), share: z.number().positive()})),
+	customers: createListSchema(z.strictObject({customer: z.string(), share: z.number().positive()})),
 	requestsPerSecond: z.number().positive(),
-	traffic: z.array(trafficClassSchema).min(1),
+	traffic: createListSchema(trafficClassSchema, {minLength: 1}),
 });
 
 /** See {@link deploymentSchema}. */
--- a/packages/daemon/src/direct/__tests__/watchObjects.test.ts
+++ b/packages/daemon/src/direct/__tests__/watchObjects.test.ts
@@ -5,18 +5,18 @@
 import {Ok} from '@damaskspool/shared';
 import {watchObjects} from '../watchObjects.js';
 
-const createObject = (name: string): MetadataObject => ({
-	name, version: 1, value: {}, isRemoved: false,
+const createObject = <Value>(name: string): MetadataObject<Value> => ({
+	name, version: 1, value: undefined, isRemoved: false,
 });
 
 /** Creates the calls of a store that lists one object and reports another one in each watch. */
 function createStore(): Pick<MetadataStore, 'list' | 'watch'> {
 	let version = 1;
 	return {
-		list: async () => Ok({version, objects: [createObject('listed')]}),
-		async watch() {
+		list: async <Value>() => Ok({version, objects: [createObject<Value>('listed')]}),
+		async watch<Value>() {
 			version += 1;
-			return Ok({version, objects: [createObject(`changed-${version}`)]});
+			return Ok({version, objects: [createObject<Value>(`changed-${version}`)]});
 		},
 	};
 }
@@ -28,6 +28,7 @@
 		await watchObjects({
 			store: createStore() as MetadataStore,
 			kind: 'targets',
+			parseValue: (_name, value) => value,
 			isStopped: () => pages.length === 4,
 			onPage({objects}, isFullList) {
 				pages.push(`${isFullList ? 'list' : 'change'} ${objects[0]!.name}`);
--- a/packages/daemon/src/direct/createDutyEffects.ts
+++ b/packages/daemon/src/direct/createDutyEffects.ts
@@ -3,7 +3,10 @@
 import {
 	type DeploymentPorts, type EffectHandlers, type Logger, type UntimedEvent,
 } from '@damaskspool/runtime';
-import {ERROR_CODES, leaseRecordSchema} from '@damaskspool/shared';
+import {
+	createRecordSchema, ERROR_CODES, formatContentIssues, leaseRecordSchema,
+} from '@damaskspool/shared';
+import {createMalformedLog} from './createMalformedLog.js';
 
 /** Options of {@link createDutyEffects}. */
 export type DutyEffectsOptions = {
@@ -14,7 +17,7 @@
 };
 
 /** Counts by window and customer. Without a valid object no window is reported, since its figures may have been reported. */
-const sealedUsageSchema = z.record(z.string().regex(/^\d+$/v), z.record(z.string(), z.number()));
+const sealedUsageSchema = createRecordSchema(z.string().regex(/^\d+$/v), createRecordSchema(z.string(), z.number()));
 
 type EffectOf<Type extends ServingEffect['type']> = Extract<ServingEffect, {type: Type}>;
 
@@ -24,6 +27,11 @@
 /** Creates the handlers of lease, order and usage report effects. Each handler dispatches its result as an event. */
 export function createDutyEffects({ports, instanceId, logger, dispatch}: DutyEffectsOptions): DutyEffects {
 	const {store, objects} = ports;
+	const malformedUsage = createMalformedLog({
+		write(context) {
+			logger.error('usage.malformed', context);
+		},
+	});
 
 	const readLease = async ({dutyName, callId}: EffectOf<'lease.read'>) => {
 		const reply = await store.read(objects.leases, dutyName);
@@ -61,7 +69,9 @@
 		const reply = await store.read(objects.usage.kind, objects.usage.name);
 		const sealed = reply.ok ? sealedUsageSchema.safeParse(reply.val?.value ?? {}) : undefined;
 		if (sealed?.success === false) {
-			logger.error('usage.malformed', {version: reply.ok ? reply.val?.version : undefined, detail: z.prettifyError(sealed.error)});
+			malformedUsage.record({name: objects.usage.name, version: reply.ok ? reply.val?.version : undefined, detail: formatContentIssues(sealed.error)});
+		} else if (sealed !== undefined) {
+			malformedUsage.clear(objects.usage.name);
 		}
 
 		dispatch({
--- a/packages/daemon/src/direct/createKeptObject.ts
+++ b/packages/daemon/src/direct/createKeptObject.ts
@@ -1,6 +1,7 @@
-import {z} from 'zod';
+import {type z} from 'zod';
 import {type DeploymentPorts, type Logger} from '@damaskspool/runtime';
-import {ERROR_CODES} from '@damaskspool/shared';
+import {ERROR_CODES, formatContentIssues} from '@damaskspool/shared';
+import {createMalformedLog} from './createMalformedLog.js';
 
 /** Options of {@link createKeptObject}. */
 export type KeptObjectOptions<Value> = {
@@ -23,6 +24,12 @@
 
 /** Creates the calls for one object of the store. */
 export function createKeptObject<Value>({store, kind, name, schema, logger, logName}: KeptObjectOptions<Value>): KeptObject<Value> {
+	const malformedObject = createMalformedLog({
+		write(context) {
+			logger.error(`${logName}.malformed`, context);
+		},
+	});
+
 	return {
 		async read() {
 			const reply = await store.read(kind, name);
@@ -32,7 +39,9 @@
 
 			const parsed = reply.val === undefined ? undefined : schema.safeParse(reply.val.value);
 			if (parsed?.success === false) {
-				logger.error(`${logName}.malformed`, {detail: z.prettifyError(parsed.error)});
+				malformedObject.record({name, detail: formatContentIssues(parsed.error)});
+			} else {
+				malformedObject.clear(name);
 			}
 
 			return {kind: 'read', version: reply.val?.version ?? 0, stored: parsed?.data};
--- a/packages/daemon/src/direct/createPartEffects.ts
+++ b/packages/daemon/src/direct/createPartEffects.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {createListSchema} from '@damaskspool/shared';
 import {
 	MAX_QUARANTINE_MS, MAX_QUARANTINES, MAX_STORED_PARTS, PART_HASH_DIGITS, type ServingEffect, type ServingEvent, type StoredParts,
 } from '@damaskspool/core';
@@ -15,11 +16,11 @@
 };
 
 const storedPartsSchema: z.ZodType<StoredParts> = z.object({
-	quarantines: z.array(z.tuple([
-		z.array(z.string().length(PART_HASH_DIGITS)).min(1).max(MAX_STORED_PARTS),
+	quarantines: createListSchema(z.tuple([
+		createListSchema(z.string().length(PART_HASH_DIGITS), {minLength: 1, maxLength: MAX_STORED_PARTS}),
 		z.number().nonnegative(),
 		z.number().positive().max(MAX_QUARANTINE_MS),
-	])).max(MAX_QUARANTINES),
+	]), {maxLength: MAX_QUARANTINES}),
 });
 
 /** Handlers of effects that concern the quarantined prompt parts that the store keeps. */
--- a/packages/daemon/src/direct/createPeerDirectory.ts
+++ b/packages/daemon/src/direct/createPeerDirectory.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {type Logger, type MetadataStore} from '@damaskspool/runtime';
 import {isPort, isUsableIp} from '@damaskspool/shared';
+import {createMalformedLog} from './createMalformedLog.js';
 
 /** Address at which an entry receives reports of its peers. */
 export type PeerAddress = {readonly ip: string; readonly port: number; readonly availabilityZone: string};
@@ -33,14 +34,19 @@
 	let isRegistered = false;
 	let isStopped = false;
 	let timer: NodeJS.Timeout | undefined;
+	const malformedPeers = createMalformedLog({
+		write(context) {
+			logger.warn('peer.malformed', context);
+		},
+	});
 
 	const run = async () => {
 		const mayBeStale = isRegistered;
-		const listed = await store.list(kind, {mayBeStale});
+		const listed = await store.list(kind, {mayBeStale, parseValue: (_name, value) => entrySchema.safeParse(value).data});
 		let hasSucceeded = listed.ok;
 		if (listed.ok) {
 			const localEntry = listed.val.objects.find(({name}) => name === instanceId);
-			isRegistered = entrySchema.safeParse(localEntry?.value).data?.processId === processId;
+			isRegistered = localEntry?.value?.processId === processId;
 			if (!isRegistered) {
 				// A stale list is no base for a write: it may be older than the registration that it lacks.
 				const written = mayBeStale ? undefined : await store.write(kind, instanceId, {...address, processId}, localEntry?.version ?? 0);
@@ -48,16 +54,16 @@
 			}
 
 			const peers = new Map<string, PeerAddress>();
-			for (const {name, value} of listed.val.objects) {
-				const parsed = entrySchema.safeParse(value);
+			for (const {name, value: peer} of listed.val.objects) {
 				if (name === instanceId) {
 					continue;
 				}
 
-				if (parsed.success) {
-					peers.set(name, parsed.data);
+				if (peer === undefined) {
+					malformedPeers.record({name});
 				} else {
-					logger.warn('peer.malformed', {name});
+					malformedPeers.clear(name);
+					peers.set(name, peer);
 				}
 			}
 
--- a/packages/daemon/src/direct/createVersionEffects.ts
+++ b/packages/daemon/src/direct/createVersionEffects.ts
@@ -5,7 +5,7 @@
 import {
 	type DeploymentPorts, type EffectHandlers, type Logger, type UntimedEvent,
 } from '@damaskspool/runtime';
-import {isStoreEra} from '@damaskspool/shared';
+import {isStoreEra, createListSchema, createRecordSchema} from '@damaskspool/shared';
 import {createKeptObject} from './createKeptObject.js';
 
 /** Options of {@link createVersionEffects}. */
@@ -18,8 +18,7 @@
 const identifierSchema = z.string().max(MAX_IDENTIFIER_LENGTH);
 const storedVersionsSchema: z.ZodType<StoredVersions> = z.object({
 	era: z.number().refine(era => isStoreEra(era)),
-	services: z.record(identifierSchema, z.array(identifierSchema).max(MAX_SERVICE_VERSIONS))
-		.refine(services => Object.keys(services).length <= MAX_SERVICES),
+	services: createRecordSchema(identifierSchema, createListSchema(identifierSchema, {maxLength: MAX_SERVICE_VERSIONS}), {maxSize: MAX_SERVICES}),
 });
 
 /** Handlers of effects that concern the software versions that the store keeps. */
--- a/packages/daemon/src/direct/peerReportTuple.ts
+++ b/packages/daemon/src/direct/peerReportTuple.ts
@@ -1,10 +1,11 @@
 import {z} from 'zod';
+import {createListSchema, createRecordSchema} from '@damaskspool/shared';
 import {
 	MAX_IDENTIFIER_LENGTH, MAX_SERVICE_VERSIONS, MAX_SERVICES, type PeerReport,
 } from '@damaskspool/core';
 
 const identifierSchema = z.string().max(MAX_IDENTIFIER_LENGTH);
-const countsSchema = z.record(z.string(), z.number());
+const countsSchema = createRecordSchema(z.string(), z.number());
 
 /** A report as a tuple, without keys: reports are sent many times a second, and traffic between zones is expensive. */
 const peerReportTupleSchema = z.tuple([
@@ -13,25 +14,25 @@
 	z.string(),
 	z.number(),
 	z.number(),
-	z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
-	z.array(z.tuple([z.string(), z.string(), z.number()])),
-	z.array(z.tuple([z.string(), z.number()])),
-	z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-	z.array(z.tuple([z.string(), z.string()])),
+	createListSchema(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()])),
+	createListSchema(z.tuple([z.string(), z.string(), z.number()])),
+	createListSchema(z.tuple([z.string(), z.number()])),
+	createListSchema(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+	createListSchema(z.tuple([z.string(), z.string()])),
 	z.tuple([
-		z.array(z.tuple([z.string(), z.array(z.string())])),
-		z.array(z.string()),
-		z.array(z.tuple([z.array(z.string()), z.number(), z.number()])),
+		createListSchema(z.tuple([z.string(), createListSchema(z.string())])),
+		createListSchema(z.string()),
+		createListSchema(z.tuple([createListSchema(z.string()), z.number(), z.number()])),
 	]),
-	z.array(z.tuple([z.string(), z.array(z.string())])),
-	z.array(z.tuple([z.number(), z.number(), z.array(z.tuple([z.string(), z.string(), z.number()]))])),
+	createListSchema(z.tuple([z.string(), createListSchema(z.string())])),
+	createListSchema(z.tuple([z.number(), z.number(), createListSchema(z.tuple([z.string(), z.string(), z.number()]))])),
 	z.number().int().nonnegative(),
-	z.array(z.tuple([z.number(), countsSchema])),
-	z.array(z.tuple([z.number(), countsSchema])),
-	z.array(z.tuple([z.number().int().positive(), z.boolean(), z.array(z.tuple([identifierSchema, z.array(identifierSchema).max(MAX_SERVICE_VERSIONS)])).max(MAX_SERVICES)])).max(1),
-	z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-	z.array(z.tuple([z.string(), z.number().int(), z.number().int(), z.number().positive(), z.number().nonnegative()])),
-	z.array(z.tuple([z.string(), z.number().nonnegative()])),
+	createListSchema(z.tuple([z.number(), countsSchema])),
+	createListSchema(z.tuple([z.number(), countsSchema])),
+	createListSchema(z.tuple([z.number().int().positive(), z.boolean(), createListSchema(z.tuple([identifierSchema, createListSchema(identifierSchema, {maxLength: MAX_SERVICE_VERSIONS})]), {maxLength: MAX_SERVICES})]), {maxLength: 1}),
+	createListSchema(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+	createListSchema(z.tuple([z.string(), z.number().int(), z.number().int(), z.number().positive(), z.number().nonnegative()])),
+	createListSchema(z.tuple([z.string(), z.number().nonnegative()])),
 ]);
 
 /** See {@link formatPeerReport}. */
@@ -77,7 +78,7 @@
  * @returns the reports, or undefined if any of them is malformed
  */
 export function parsePeerReports(parameters: unknown): readonly PeerReport[] | undefined {
-	const parsed = z.array(peerReportTupleSchema).safeParse(parameters);
+	const parsed = createListSchema(peerReportTupleSchema).safeParse(parameters);
 	return parsed.success
 		? parsed.data.map(([entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, [partCrashes, cleared, quarantines], streams, serviceVersions, storeEra, sealed, usage, versionHistory, allotments, speeds, heldTokens]) => ({
 			entryId, processId, availabilityZone, sequence, wallMs, work, prefixUses, leaving, limits, crashes, poisonParts: {crashes: partCrashes, cleared, quarantines}, streams, serviceVersions, storeEra, sealed, usage, versionHistory, allotments, speeds, heldTokens,
--- a/packages/daemon/src/direct/startStoreWatches.ts
+++ b/packages/daemon/src/direct/startStoreWatches.ts
@@ -2,7 +2,8 @@
 import {
 	type DeploymentPorts, type Logger, type MetadataObject, type Metrics, type UntimedEvent,
 } from '@damaskspool/runtime';
-import {type Failure} from '@damaskspool/shared';
+import {type Failure, type Result} from '@damaskspool/shared';
+import {createMalformedLog} from './createMalformedLog.js';
 import {watchObjects} from './watchObjects.js';
 
 /** Options of {@link startStoreWatches}. */
@@ -14,9 +15,6 @@
 	readonly isStopped: () => boolean;
 };
 
-/** Characters of an object's name in a log line. */
-const MAX_LOGGED_NAME_LENGTH = 200;
-
 /**
  * Watches the configuration and the targets in the store and dispatches their changes.
  * For each of the two, logs the start and the end of each store outage once.
@@ -44,20 +42,33 @@
 		}
 	};
 
-	const parseTargets = (objects: readonly MetadataObject[]) => {
+	const malformedTargets = createMalformedLog({
+		write(context) {
+			logger.warn('target.malformed', context);
+		},
+	});
+	const malformedConfigurations = createMalformedLog({
+		write(context) {
+			logger.error('configuration.malformed', context);
+		},
+	});
+
+	const groupTargets = (objects: ReadonlyArray<MetadataObject<Result<TargetRecord, Failure>>>) => {
 		const targets: TargetRecord[] = [];
 		const removed: string[] = [];
-		for (const {name, value, isRemoved} of objects) {
-			const parsed = isRemoved ? undefined : ports.parseTarget(name, value);
-			if (parsed?.ok === true) {
-				targets.push(parsed.val);
+		for (const {name, value} of objects) {
+			if (value?.ok === true) {
+				malformedTargets.clear(name);
+				targets.push(value.val);
 				continue;
 			}
 
 			removed.push(name);
-			if (parsed !== undefined) {
+			if (value === undefined) {
+				malformedTargets.clear(name);
+			} else {
 				metrics.count('targets_malformed');
-				logger.warn('target.malformed', {name: name.slice(0, MAX_LOGGED_NAME_LENGTH), detail: parsed.val.message});
+				malformedTargets.record({name, detail: value.val.message});
 			}
 		}
 
@@ -68,11 +79,12 @@
 	void watchObjects({
 		store: ports.store,
 		kind: targets,
+		parseValue: ports.parseTarget,
 		isStopped,
 		onFailure: createFailureHandler(targets),
 		onPage({objects, version}, isComplete) {
 			recordRecovery(targets, version);
-			dispatch({type: 'targets.changed', isComplete, ...parseTargets(objects)});
+			dispatch({type: 'targets.changed', isComplete, ...groupTargets(objects)});
 		},
 		onUnchanged() {
 			dispatch({type: 'targets.confirmed'});
@@ -81,21 +93,22 @@
 	void watchObjects({
 		store: ports.store,
 		kind: configuration.kind,
+		parseValue: (name, value) => name === configuration.name ? ports.parseConfiguration(value) : undefined,
 		isStopped,
 		onFailure: createFailureHandler(configuration.kind),
 		onPage({objects, version}) {
 			recordRecovery(configuration.kind, version);
-			for (const {name, value, isRemoved} of objects) {
-				if (name !== configuration.name || isRemoved) {
+			for (const {name, value: parsed} of objects) {
+				if (parsed === undefined) {
 					continue;
 				}
 
-				const parsed = ports.parseConfiguration(value);
 				if (parsed.ok) {
+					malformedConfigurations.clear(name);
 					dispatch({type: 'configuration.changed', configuration: parsed.val});
 				} else {
 					metrics.count('configurations_malformed');
-					logger.error('configuration.malformed', {version, detail: parsed.val.message});
+					malformedConfigurations.record({name, detail: parsed.val.message, version});
 				}
 			}
 		},
--- a/packages/daemon/src/direct/watchObjects.ts
+++ b/packages/daemon/src/direct/watchObjects.ts
@@ -1,13 +1,15 @@
 import {setTimeout as wait} from 'node:timers/promises';
-import {formatError, type MetadataPage, type MetadataStore} from '@damaskspool/runtime';
+import {
+	formatError, type MetadataPage, type MetadataStore, type ReadObjectsOptions,
+} from '@damaskspool/runtime';
 import {createFailure, ERROR_CODES, type Failure} from '@damaskspool/shared';
 
 /** Options of {@link watchObjects}. */
-export type WatchObjectsOptions = {
+export type WatchObjectsOptions<Value> = Required<ReadObjectsOptions<Value>> & {
 	readonly store: MetadataStore;
 	readonly kind: string;
 	/** Called with the full list of objects, or with the changes since the previous page. */
-	readonly onPage: (page: MetadataPage, isFullList: boolean) => void;
+	readonly onPage: (page: MetadataPage<Value>, isFullList: boolean) => void;
 	/** Called when a watch has ended without changes. */
 	readonly onUnchanged?: () => void;
 	readonly onFailure: (failure: Failure) => void;
@@ -29,7 +31,7 @@
  * watches for changes, and lists again if the store no longer retains the changes
  * since the last version seen.
  */
-export async function watchObjects({store, kind, onPage, onUnchanged, onFailure, isStopped}: WatchObjectsOptions): Promise<void> {
+export async function watchObjects<Value>({store, kind, parseValue, onPage, onUnchanged, onFailure, isStopped}: WatchObjectsOptions<Value>): Promise<void> {
 	let version: number | undefined;
 	let failureCount = 0;
 
@@ -41,7 +43,7 @@
 
 	const callStore = async () => {
 		const isFullList = version === undefined;
-		const result = await (version === undefined ? store.list(kind) : store.watch(kind, version));
+		const result = await (version === undefined ? store.list(kind, {parseValue}) : store.watch(kind, version, {parseValue}));
 		if (result.err) {
 			if (result.val.code === ERROR_CODES.historyGone) {
 				version = undefined;
--- a/packages/daemon/src/entry/createBurnComponent.ts
+++ b/packages/daemon/src/entry/createBurnComponent.ts
@@ -3,6 +3,7 @@
 } from '@damaskspool/core';
 import {mergeHistograms, encodeHistogram} from '@damaskspool/runtime';
 import {z} from 'zod';
+import {createListSchema, createRecordSchema} from '@damaskspool/shared';
 import {assertOperator} from './assertOperator.js';
 import {type EntryContext, type EntryComponent} from './entryComponent.js';
 
@@ -10,11 +11,11 @@
 	requests: z.number(), failed: z.number(), lateFirst: z.number(), lateBetween: z.number(),
 });
 const entryBurnSchema = z.object({
-	parts: z.array(z.object({
-		customerId: z.string(), serviceId: z.string(), fast: countsSchema, slow: countsSchema, causes: z.record(z.string(), z.number()),
+	parts: createListSchema(z.object({
+		customerId: z.string(), serviceId: z.string(), fast: countsSchema, slow: countsSchema, causes: createRecordSchema(z.string(), z.number()),
 	})),
 	/** Compressed histograms by measure. */
-	histograms: z.record(z.string(), z.string()),
+	histograms: createRecordSchema(z.string(), z.string()),
 });
 
 type EntryBurn = z.infer<typeof entryBurnSchema>;
--- a/packages/daemon/src/entry/createInstancesComponent.ts
+++ b/packages/daemon/src/entry/createInstancesComponent.ts
@@ -1,9 +1,9 @@
-import {instanceRecordSchema} from '@damaskspool/shared';
+import {instanceRecordSchema, createListSchema} from '@damaskspool/shared';
 import {z} from 'zod';
 import {startPeriodicTask} from '../startPeriodicTask.js';
 import {type EntryContext, type EntryComponent} from './entryComponent.js';
 
-const instanceListSchema = z.object({instances: z.array(instanceRecordSchema)});
+const instanceListSchema = z.object({instances: createListSchema(instanceRecordSchema)});
 
 /** Creates the component that polls the platform's instance list. A failed read leaves the known instances unchanged. */
 export function createInstancesComponent(context: EntryContext): EntryComponent {
--- a/packages/daemon/src/entry/createOperatorComponent.ts
+++ b/packages/daemon/src/entry/createOperatorComponent.ts
@@ -3,8 +3,7 @@
 	listStateRows, mayDrain, mergeQueryRows, planCommand, QUERY_SOURCES, type QuerySourceName, runQuery,
 } from '@damaskspool/core';
 import {
-	type CommandStatement, commandStatementSchema, type ConfigurationDocument, type QueryReply, type QueryRow,
-	queryStatementSchema,
+	type CommandStatement, commandStatementSchema, type ConfigurationDocument, type QueryReply, type QueryRow, queryStatementSchema, createListSchema, createRecordSchema,
 } from '@damaskspool/shared';
 import {z} from 'zod';
 import {assertOperator} from './assertOperator.js';
@@ -25,7 +24,7 @@
 });
 const drainParametersSchema = z.strictObject({targetId: z.string()});
 const drainReplySchema = z.object({isOrdered: z.boolean()});
-const rowsSchema = z.array(z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])));
+const rowsSchema = createListSchema(createRecordSchema(z.string(), z.union([z.string(), z.number(), z.boolean()])));
 
 /** Reply to `operator.change`. */
 export type ChangeReply = {
--- a/packages/daemon/src/sidecar/createReportComponent.ts
+++ b/packages/daemon/src/sidecar/createReportComponent.ts
@@ -1,5 +1,5 @@
 import {toLoadReport} from '@damaskspool/core';
-import {type CacheEvent, cacheEventSchema} from '@damaskspool/shared';
+import {type CacheEvent, cacheEventSchema, createListSchema} from '@damaskspool/shared';
 import {z} from 'zod';
 import {type SidecarContext, type SidecarComponent} from './sidecarComponent.js';
 
@@ -12,10 +12,10 @@
 
 const targetReportSchema = z.object({
 	role: z.enum(['mixed', 'prefill', 'decode']),
-	models: z.array(z.string()),
+	models: createListSchema(z.string()),
 	isReady: z.boolean(),
 	/** Omitted by targets without a prefix cache. */
-	cacheEvents: z.array(cacheEventSchema).default([]),
+	cacheEvents: createListSchema(cacheEventSchema).default([]),
 });
 
 /** `afterSequence` is the sequence number of the last cache event that the requesting entry has. */
--- a/packages/runtime/src/__tests__/readSettings.test.ts
+++ b/packages/runtime/src/__tests__/readSettings.test.ts
@@ -20,6 +20,15 @@
 		});
 	}
 
+	it('reports few of many problems', () => {
+		const unknownKeys = JSON.stringify(Object.fromEntries(Array.from({length: 50_000}, (_, index) => [`k${index}`, 1])));
+		for (const text of [unknownKeys, `{${',]'.repeat(20_000)}`]) {
+			const checked = parseSettings({file: 'f', text, schema});
+			assert.ok(checked.err);
+			assert.ok(checked.val.length <= 20, String(checked.val.length));
+		}
+	});
+
 	it('accepts comments and trailing commas', () => {
 		const text = '// a comment\n{"name": "a", "limit": "250 ms", "inner": {"count": 1,},}';
 		assert.deepEqual(parseSettings({file: 'f', text, schema}).unwrap(), {name: 'a', limit: 250, inner: {count: 1}});
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -6,24 +6,34 @@
 import {type Failure, type Result} from '@damaskspool/shared';
 
 /** Object of the metadata store, in its current state or as of a change. */
-export type MetadataObject = {
+export type MetadataObject<Value = unknown> = {
 	readonly name: string;
 	/** Version of the object's last change. Versions increase across all objects and eras of the store; see `toStoreVersion`. */
 	readonly version: number;
-	readonly value: unknown;
+	/** Undefined if the change removed the object. */
+	readonly value: Value | undefined;
 	/** Whether the change removed the object. */
 	readonly isRemoved: boolean;
 };
 
 /** Objects or changes of one kind. `version` is the version up to which they are complete. */
-export type MetadataPage = {readonly version: number; readonly objects: readonly MetadataObject[]};
+export type MetadataPage<Value = unknown> = {readonly version: number; readonly objects: ReadonlyArray<MetadataObject<Value>>};
+
+/** Options of a call that returns several objects. */
+export type ReadObjectsOptions<Value> = {
+	/**
+	 * Converts the content of each object before the next one is parsed, so that contents which are dropped never take
+	 * memory together. The contents are returned as they are if it is omitted.
+	 */
+	readonly parseValue?: (name: string, value: unknown) => Value;
+};
 
 /** Store for all data that must outlive a process. Errors are returned as values. */
 export type MetadataStore = {
 	/** Returns all objects of a kind. With `mayBeStale`, the list may be seconds old, and costs the store less. */
-	readonly list: (kind: string, options?: {readonly mayBeStale?: boolean}) => Promise<Result<MetadataPage, Failure>>;
+	readonly list: <Value = unknown>(kind: string, options?: ReadObjectsOptions<Value> & {readonly mayBeStale?: boolean}) => Promise<Result<MetadataPage<Value>, Failure>>;
 	/** Waits for changes after a version. Fails with `historyGone` if the store no longer has them or is in a later era. */
-	readonly watch: (kind: string, afterVersion: number) => Promise<Result<MetadataPage, Failure>>;
+	readonly watch: <Value = unknown>(kind: string, afterVersion: number, options?: ReadObjectsOptions<Value>) => Promise<Result<MetadataPage<Value>, Failure>>;
 	/** Returns an object, or undefined if it does not exist. */
 	readonly read: (kind: string, name: string) => Promise<Result<MetadataObject | undefined, Failure>>;
 	/**
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,6 +16,7 @@
 export * from './mergeRpcMethods.js';
 export * from './readBody.js';
 export * from './readSettings.js';
+export * from './splitJsonList.js';
 export * from './splitServerSentEvents.js';
 export * from './startTimeout.js';
 export * from './writeWithBackPressure.js';
--- a/packages/runtime/src/readSettings.ts
+++ b/packages/runtime/src/readSettings.ts
@@ -7,6 +7,9 @@
 import {z} from 'zod';
 import {Err, Ok, type Result} from '@damaskspool/shared';
 
+/** Problems that are reported. Each is looked up in the text, which may hold any number of them. */
+const MAX_PROBLEMS = 20;
+
 /** A problem in a settings file. */
 export type SettingsProblem = {
 	readonly file: string;
@@ -46,7 +49,7 @@
 /**
  * Reads and validates a settings file in JSON with comments.
  *
- * @returns the settings, or all problems with their positions
+ * @returns the settings, or the first problems with their positions
  */
 export async function readSettings<Schema extends z.ZodType>(
 	file: string,
@@ -75,14 +78,14 @@
 /**
  * Parses and validates the text of a settings file.
  *
- * @returns the settings, or all problems with their positions
+ * @returns the settings, or the first problems with their positions
  */
 export function parseSettings<Schema extends z.ZodType>(options: ParseSettingsOptions<Schema>): Result<z.output<Schema>, SettingsProblem[]> {
 	const {file, text, schema} = options;
 	const parseErrors: ParseError[] = [];
 	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
 	if (root === undefined || parseErrors.length > 0) {
-		const problems = parseErrors.map(({error, offset}) => ({
+		const problems = parseErrors.slice(0, MAX_PROBLEMS).map(({error, offset}) => ({
 			file, ...locateOffset(text, offset), message: `not JSON with comments: ${printParseErrorCode(error)}`,
 		}));
 		return Err(problems.length > 0
@@ -97,7 +100,7 @@
 		return Ok(result.data);
 	}
 
-	return Err(result.error.issues.flatMap(issue => toProblems(file, text, root, issue)));
+	return Err(result.error.issues.slice(0, MAX_PROBLEMS).flatMap(issue => toProblems(file, text, root, issue)).slice(0, MAX_PROBLEMS));
 }
 
 /** Formats a problem as `file:line:column: message`. */
@@ -109,7 +112,7 @@
 	const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
 	const keyPath = path.join('.');
 	if (issue.code === 'unrecognized_keys') {
-		return issue.keys.map(key => {
+		return issue.keys.slice(0, MAX_PROBLEMS).map(key => {
 			const node = findNodeAtLocation(root, [...path, key])?.parent;
 			const parentName = keyPath === '' ? 'the settings' : keyPath;
 			return {file, ...locateOffset(text, node?.offset ?? 0), message: `unknown key "${key}" in ${parentName}`};
--- a/packages/shared/src/claimDocuments.ts
+++ b/packages/shared/src/claimDocuments.ts
@@ -1,5 +1,6 @@
 /** Claims (idempotency records) of non-repeatable calls: messages between entries, and documents in the object API. */
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 
 /** Schema of a complete response that is stored and replayed when the call is sent again. */
 export const storedResponseSchema = z.strictObject({
@@ -34,7 +35,7 @@
 export const claimSegmentSchema = z.strictObject({
 	/** Unique for each attempted segment. After a lost reply, the writer compares it to find out whether its write succeeded. */
 	nonce: z.string(),
-	records: z.array(claimRecordSchema),
+	records: createListSchema(claimRecordSchema),
 });
 
 /** See {@link claimSegmentSchema}. */
--- a/packages/shared/src/configurationDocument.ts
+++ b/packages/shared/src/configurationDocument.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 
 const routeSchema = z.strictObject({
 	method: z.enum(['GET', 'POST', 'PUT', 'DELETE']),
@@ -19,9 +20,9 @@
 	serviceId: z.string().min(1),
 	/** `model`: targets are model engines. `plain`: targets serve ordinary HTTP calls. */
 	kind: z.enum(['model', 'plain']),
-	routes: z.array(routeSchema).min(1),
+	routes: createListSchema(routeSchema, {minLength: 1}),
 	/** Offered models, as `model`, `model:adapter` or `model:adapter@version`. */
-	models: z.array(z.string()).default([]),
+	models: createListSchema(z.string()).default([]),
 	/** Latency objective for the time to the first token, in milliseconds. */
 	firstTokenGoalMs: z.number().positive().default(720),
 	/** Latency objective for the time between two tokens, in milliseconds. */
@@ -32,7 +33,7 @@
 export const customerSchema = z.strictObject({
 	customerId: z.string().min(1),
 	/** SHA-256 digests of the customer's API keys, as 64 hexadecimal digits each. */
-	keyHashes: z.array(z.string().length(64)),
+	keyHashes: createListSchema(z.string().length(64)),
 	requestsPerSecond: z.number().positive().optional(),
 	tokensPerSecond: z.number().positive().optional(),
 	/** Weight of the customer in fair queueing. */
@@ -40,7 +41,7 @@
 	/** Whether the customer may use the operator interface. */
 	operator: z.boolean().default(false),
 	/** Identifiers of the services that the customer may call. If absent, all services. */
-	services: z.array(z.string()).optional(),
+	services: createListSchema(z.string()).optional(),
 });
 
 /**
@@ -48,8 +49,8 @@
  * a misspelt limit is an error instead of a missing limit.
  */
 export const configurationDocumentSchema = z.strictObject({
-	services: z.array(serviceSchema),
-	customers: z.array(customerSchema),
+	services: createListSchema(serviceSchema),
+	customers: createListSchema(customerSchema),
 });
 
 /** See {@link configurationDocumentSchema}. */
--- a/packages/shared/src/configurationEdit.ts
+++ b/packages/shared/src/configurationEdit.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 import {configurationDocumentSchema, customerSchema, serviceSchema} from './configurationDocument.js';
 
 const keyHashSchema = z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 digest as 64 hexadecimal digits');
@@ -21,7 +22,7 @@
 export const configurationProposalSchema = z.strictObject({
 	/** Identifier that the proposer gives to the change. A change that is proposed again under the same identifier is accepted only once. */
 	changeId: z.string().min(8).max(64),
-	edits: z.array(configurationEditSchema).min(1),
+	edits: createListSchema(configurationEditSchema, {minLength: 1}),
 	/** Revision on which the edits are based. If absent, the latest. */
 	baseRevision: z.number().int().nonnegative().optional(),
 });
--- a/packages/shared/src/configurationHead.ts
+++ b/packages/shared/src/configurationHead.ts
@@ -5,6 +5,8 @@
  * takes effect with one conditional update of the head.
  */
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
+import {createRecordSchema} from './createRecordSchema.js';
 import {customerSchema, serviceSchema} from './configurationDocument.js';
 
 /** Key of the head object. */
@@ -12,8 +14,8 @@
 
 /** Schema of a part: all services, or the customers of one shard. */
 export const configurationPartSchema = z.strictObject({
-	services: z.array(serviceSchema),
-	customers: z.array(customerSchema),
+	services: createListSchema(serviceSchema),
+	customers: createListSchema(customerSchema),
 });
 
 /** See {@link configurationPartSchema}. */
@@ -24,9 +26,9 @@
 	revision: z.number().int().positive(),
 	changeId: z.string(),
 	/** Items that the change edited, as `customer:ID` or `service:ID`. */
-	subjects: z.array(z.string()),
+	subjects: createListSchema(z.string()),
 	/** Keys of the documents that the change replaced. */
-	replaced: z.array(z.string()),
+	replaced: createListSchema(z.string()),
 });
 
 /** Record of an accepted change. */
@@ -36,9 +38,9 @@
 export const configurationHeadSchema = z.strictObject({
 	revision: z.number().int().positive(),
 	/** Identifier of the current document of each part, by part name. */
-	parts: z.record(z.string(), z.string()),
+	parts: createRecordSchema(z.string(), z.string()),
 	/** Most recent changes, oldest first. Used to recognise a change whose reply was lost, and to detect overlapping changes. */
-	recent: z.array(acceptedChangeSchema),
+	recent: createListSchema(acceptedChangeSchema),
 });
 
 /** See {@link configurationHeadSchema}. */
@@ -50,7 +52,7 @@
 	fromRevision: z.number().int().optional(),
 	/** Revision after the update. */
 	revision: z.number().int().positive(),
-	parts: z.array(z.strictObject({
+	parts: createListSchema(z.strictObject({
 		name: z.string(),
 		documentId: z.string(),
 		document: configurationPartSchema,
--- a/packages/shared/src/fleetRecord.ts
+++ b/packages/shared/src/fleetRecord.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 
 /** Key prefix of fleet records in the object API. The availability zone follows the prefix. */
 export const FLEET_KEY_PREFIX = 'fleet/';
@@ -16,7 +17,7 @@
 export const desiredTargetSchema = z.object({
 	role: z.enum(['mixed', 'prefill', 'decode']),
 	/** Models that the target must offer, as `model`, `model:adapter` or `model:adapter@version`. */
-	models: z.array(z.string()),
+	models: createListSchema(z.string()),
 	/** Whether the target must be drained and out of service, so that the platform can stop it. */
 	isLeaving: z.boolean(),
 });
@@ -64,8 +65,8 @@
 	nonce: z.string(),
 	/** Sequence number of the last order in this epoch. */
 	sequence: z.number().int().nonnegative(),
-	assignments: z.array(assignmentSchema),
-	intents: z.array(intentSchema),
+	assignments: createListSchema(assignmentSchema),
+	intents: createListSchema(intentSchema),
 });
 
 /** See {@link fleetRecordSchema}. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,7 @@
 export * from './configurationReply.js';
+export * from './createListSchema.js';
+export * from './createRecordSchema.js';
+export * from './formatContentIssues.js';
 export * from './apiKeys.js';
 export * from './claimDocuments.js';
 export * from './configurationDocument.js';
--- a/packages/shared/src/loadReport.ts
+++ b/packages/shared/src/loadReport.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 
 /** See {@link CacheEvent}. */
 export const cacheEventSchema = z.object({
@@ -23,7 +24,7 @@
 	/** Lifecycle state of the target. See docs/GLOSSARY.md. */
 	state: z.enum(['starting', 'loading', 'serving', 'draining', 'changingRole', 'leaving', 'gone']),
 	/** Models that the target offers, as `model`, `model:adapter` or `model:adapter@version`. */
-	models: z.array(z.string()),
+	models: createListSchema(z.string()),
 	/** Number of running requests. */
 	running: z.number().int().nonnegative(),
 	/** Number of queued requests. */
@@ -41,7 +42,7 @@
 	/** Milliseconds since the target reported these values to its sidecar. */
 	ageMs: z.number().nonnegative(),
 	/** Prefix cache changes after the sequence number that the requester gave. Absent in reports that are sent with responses. */
-	cacheEvents: z.array(cacheEventSchema).optional(),
+	cacheEvents: createListSchema(cacheEventSchema).optional(),
 });
 
 /** See {@link loadReportSchema}. */
--- a/packages/shared/src/statement.ts
+++ b/packages/shared/src/statement.ts
@@ -1,5 +1,7 @@
 /** Parsed statements of the operator language. The command line parses them and sends them to an entry. See docs/operate/language.md. */
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
+import {createRecordSchema} from './createRecordSchema.js';
 
 const valueSchema = z.union([z.string(), z.number(), z.boolean()]);
 
@@ -31,8 +33,8 @@
 	/** Name of the source whose rows are queried. */
 	source: z.string(),
 	where: conditionSchema.optional(),
-	groupBy: z.array(z.string()).default([]),
-	orderBy: z.array(z.strictObject({column: z.string(), isDescending: z.boolean()})).default([]),
+	groupBy: createListSchema(z.string()).default([]),
+	orderBy: createListSchema(z.strictObject({column: z.string(), isDescending: z.boolean()})).default([]),
 	/** Maximum number of rows. */
 	limit: z.number().int().positive().optional(),
 });
@@ -48,7 +50,7 @@
 	name: z.string(),
 	/** Customer of a key, or service of a model. */
 	owner: z.string().optional(),
-	options: z.record(z.string(), z.union([valueSchema, z.array(z.string())])).default({}),
+	options: createRecordSchema(z.string(), z.union([valueSchema, createListSchema(z.string())])).default({}),
 });
 
 /** See {@link commandStatementSchema}. */
--- a/packages/shared/src/usageDocuments.ts
+++ b/packages/shared/src/usageDocuments.ts
@@ -1,5 +1,6 @@
 /** Documents with which usage is counted, sealed and reported. A window is identified by its start, in epoch milliseconds. See docs/design/0008-usage.md. */
 import {z} from 'zod';
+import {createListSchema} from './createListSchema.js';
 
 const amountSchema = z.number().nonnegative();
 
@@ -54,7 +55,7 @@
 }
 
 /** Schema of a set of sequence numbers as closed ranges, in ascending order and separated by gaps. */
-export const sequenceRangesSchema = z.array(z.tuple([z.number().int(), z.number().int()]));
+export const sequenceRangesSchema = createListSchema(z.tuple([z.number().int(), z.number().int()]));
 
 /** See {@link sequenceRangesSchema}. */
 export type SequenceRanges = z.infer<typeof sequenceRangesSchema>;
@@ -68,11 +69,11 @@
 	/** Sequence numbers of the attempts whose usage was taken from a sidecar because the entry did not store it. */
 	claimed: sequenceRangesSchema,
 	/** Usage that is not yet frozen for a window. */
-	open: z.array(storedUsageRowSchema),
+	open: createListSchema(storedUsageRowSchema),
 	/** Start of the last window for which usage was frozen. Usage is frozen at most once for a window. */
 	frozenThrough: z.number(),
 	/** Usage frozen for a window. It never changes afterwards. */
-	frozen: z.array(z.object({window: z.number(), rows: z.array(storedUsageRowSchema)})),
+	frozen: createListSchema(z.object({window: z.number(), rows: createListSchema(storedUsageRowSchema)})),
 });
 
 /** See {@link usageLedgerSchema}. */
@@ -91,7 +92,7 @@
 export type AttemptUsage = z.infer<typeof attemptUsageSchema>;
 
 /** Schema of the attempts that no entry settled in time. Written once by a sidecar. */
-export const usageOrphansSchema = z.object({attempts: z.array(attemptUsageSchema)});
+export const usageOrphansSchema = z.object({attempts: createListSchema(attemptUsageSchema)});
 
 /** Schema of the number of attempts of a ledger whose usage may be missing from the counts. */
 export const unaccountedUsageSchema = z.object({
@@ -111,16 +112,16 @@
 	sealId: z.string(),
 	partCount: z.number().int(),
 	/** Ledgers whose frozen rows are included. */
-	sources: z.array(z.string()),
+	sources: createListSchema(z.string()),
 	totals: usageCountsSchema,
-	unaccounted: z.array(unaccountedUsageSchema),
+	unaccounted: createListSchema(unaccountedUsageSchema),
 });
 
 /** See {@link usageSealSchema}. */
 export type UsageSeal = z.infer<typeof usageSealSchema>;
 
 /** Schema of one part of a window's usage rows. */
-export const usagePartSchema = z.object({rows: z.array(usageRowSchema)});
+export const usagePartSchema = z.object({rows: createListSchema(usageRowSchema)});
 
 /** Schema of a region's progress: start of the last sealed window, and of the last window whose report was acknowledged. */
 export const usageProgressSchema = z.object({sealedThrough: z.number(), reportedThrough: z.number()});
@@ -132,9 +133,9 @@
 export const usageSettlementSchema = z.strictObject({
 	ledgerId: z.string(),
 	/** Sequence numbers of the attempts whose usage is stored. The sidecar may discard them. */
-	settled: z.array(z.number().int()),
+	settled: createListSchema(z.number().int()),
 	/** Sequence numbers of the attempts whose usage counts the entry requests for comparison. */
-	asked: z.array(z.number().int()),
+	asked: createListSchema(z.number().int()),
 });
 
 /** See {@link usageSettlementSchema}. */
@@ -142,7 +143,7 @@
 
 /** Schema of a sidecar's usage counts for the requested attempts. Running attempts are omitted; unknown attempts have no `counts`. */
 export const usageFiguresSchema = z.object({
-	figures: z.array(z.object({sequence: z.number().int(), counts: usageCountsSchema.optional()})),
+	figures: createListSchema(z.object({sequence: z.number().int(), counts: usageCountsSchema.optional()})),
 });
 
 /** See {@link usageFiguresSchema}. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -22,6 +22,8 @@
 			'n/prefer-global/process': 'off',
 			'max-params': ['error', {max: 4}],
 			'no-await-in-loop': 'off',
+			// These keep an issue for each element or member of an object that another writer made.
+			'no-restricted-properties': ['error', ...['array', 'record'].map(property => ({object: 'z', property, message: 'Use createListSchema or createRecordSchema.'}))],
 		},
 	},
 	{
