Put off the removal of a target only around an outage of the store

Cause: each failed call of either watch counted as an outage, in which registrations of live targets expire, and put off all removals by 2.2 s, again and again.

Change: storeContact decides by what the calls of the watch of the targets are evidence of. A watch that is cut off while it waits says nothing, since the next one continues from the same version. A call that is refused, times out or ends late is an outage, and so are two connections in a row that end at once. The time to register again counts from the return of the store.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -108,6 +108,7 @@
 export * from './serving/servingState.js';
 export * from './usage/requestUsage.js';
 export * from './membership/reportRoutes.js';
+export * from './membership/storeContact.js';
 export * from './membership/targetCatalog.js';
 export * from './retries/hashPart.js';
 export * from './retries/partHistory.js';
--- a/packages/core/src/membership/targetCatalog.ts
+++ b/packages/core/src/membership/targetCatalog.ts
@@ -1,37 +1,36 @@
 /**
  * Catalog of the targets that are available for use. It is built from complete
  * lists of registrations and from incremental changes. A registration that
- * disappears while the store is failing may have expired only because the target
- * could not renew it. Such a target is kept until it has had time to register
- * again.
+ * disappears around an outage of the store may have expired only because the
+ * target could not renew it. Such a target is kept until it has had time to
+ * register again. Any other removal takes effect at once.
  */
 import {setNewest} from '@damaskspool/shared';
 import {type TargetRecord} from '../serving/servingRecords.js';
+import {
+	createStoreContact, mayRegistrationReturn, recordReply, recordReturn, REREGISTRATION_GRACE_MS, type StoreContact,
+} from './storeContact.js';
 
 /** Known registrations of targets. */
 export type TargetCatalog = {
-	/** Registrations by target identifier. `missingSinceMs` is the time since which the store has not contained the registration. */
-	readonly registrations: Map<string, {record: TargetRecord; missingSinceMs: number | undefined}>;
+	/** Registrations by target identifier. One that the store does not contain is kept until `missingUntilMs`, or longer around an outage. */
+	readonly registrations: Map<string, {record: TargetRecord; missingUntilMs: number | undefined}>;
 	/** Targets that told this entry in an answer that they are about to stop, with their start time, by identifier. */
 	readonly noticedLeaving: Map<string, number>;
 	/** Start time of targets whose registration was removed, by identifier. The oldest removal comes first. */
 	readonly removedTargets: Map<string, number>;
 	/** Whether the next complete list is the first of an era: the older copy of the store may contain targets that were removed. */
 	isEraNew: boolean;
-	/** Time of the last failed call to the store. */
-	storeFailedAtMs: number;
+	readonly storeContact: StoreContact;
 };
 
-/** Time within which a live target registers again after the store recovers. */
-const REREGISTRATION_GRACE_MS = 2200;
-
 /** Maximum number of targets that are remembered as leaving or as removed. The oldest is dropped first; its process has long ended. */
 const MAX_REMEMBERED_TARGETS = 4096;
 
 /** Creates an empty catalog. */
 export function createTargetCatalog(): TargetCatalog {
 	return {
-		registrations: new Map(), noticedLeaving: new Map(), removedTargets: new Map(), isEraNew: false, storeFailedAtMs: Number.NEGATIVE_INFINITY,
+		registrations: new Map(), noticedLeaving: new Map(), removedTargets: new Map(), isEraNew: false, storeContact: createStoreContact(),
 	};
 }
 
@@ -40,13 +39,14 @@
  * in place. A target that is known to be leaving stays so until it registers with
  * a new start time.
  *
- * @param change - current records and identifiers of removed targets; with `isComplete`, `targets` is the complete list and `removed` is ignored
+ * @param change - current records and identifiers of removed targets; with `isComplete`, `targets` is the complete list and `removed` is ignored; with `isLate`, the store may have been away before its reply
  */
 export function applyRegistrations(
 	catalog: TargetCatalog,
-	change: {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean},
+	change: {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean; readonly isLate?: boolean},
 	nowMs: number,
 ): void {
+	recordReply(catalog.storeContact, nowMs);
 	const presentTargetIds = new Set(change.targets.map(({targetId}) => targetId));
 	const removedTargetIds = change.isComplete
 		? [...catalog.registrations.keys()].filter(targetId => !presentTargetIds.has(targetId))
@@ -54,7 +54,7 @@
 	for (const targetId of removedTargetIds) {
 		const registration = catalog.registrations.get(targetId);
 		if (registration !== undefined) {
-			registration.missingSinceMs ??= nowMs;
+			registration.missingUntilMs ??= change.isLate === true ? nowMs + REREGISTRATION_GRACE_MS : nowMs;
 		}
 	}
 
@@ -69,7 +69,7 @@
 		const previous = catalog.registrations.get(record.targetId)?.record;
 		const wasLeaving = (previous?.isLeaving === true && previous.startedAtMs === record.startedAtMs)
 			|| catalog.noticedLeaving.get(record.targetId) === record.startedAtMs;
-		catalog.registrations.set(record.targetId, {record: {...record, isLeaving: record.isLeaving || wasLeaving}, missingSinceMs: undefined});
+		catalog.registrations.set(record.targetId, {record: {...record, isLeaving: record.isLeaving || wasLeaving}, missingUntilMs: undefined});
 	}
 
 	expireRegistrations(catalog, nowMs);
@@ -103,7 +103,7 @@
  */
 export function beginEra(catalog: TargetCatalog, nowMs: number): void {
 	catalog.isEraNew = true;
-	catalog.storeFailedAtMs = nowMs;
+	recordReturn(catalog.storeContact, nowMs);
 }
 
 /** Records one incarnation of a target in a bounded map, which changes in place. */
@@ -113,14 +113,14 @@
 
 /**
  * Removes the targets whose registration is missing and whose time to register
- * again after a store failure is over. Changes the catalog in place.
+ * again after an outage of the store is over. Changes the catalog in place.
  *
  * @returns whether a target was removed
  */
 export function expireRegistrations(catalog: TargetCatalog, nowMs: number): boolean {
 	let isChanged = false;
-	for (const [targetId, {record, missingSinceMs}] of catalog.registrations) {
-		if (missingSinceMs !== undefined && nowMs >= catalog.storeFailedAtMs + REREGISTRATION_GRACE_MS) {
+	for (const [targetId, {record, missingUntilMs}] of catalog.registrations) {
+		if (missingUntilMs !== undefined && nowMs >= missingUntilMs && !mayRegistrationReturn(catalog.storeContact, nowMs)) {
 			catalog.registrations.delete(targetId);
 			recordIncarnation(catalog.removedTargets, record);
 			isChanged = true;
@@ -130,6 +130,11 @@
 	return isChanged;
 }
 
+/** Counts the targets that are kept although the store lacks their registration. */
+export function countMissing(catalog: TargetCatalog): number {
+	return [...catalog.registrations.values()].filter(({missingUntilMs}) => missingUntilMs !== undefined).length;
+}
+
 /** Lists the targets of the catalog, including those with a missing registration that may still return. */
 export function listTargets(catalog: TargetCatalog): TargetRecord[] {
 	return [...catalog.registrations.values()].map(({record}) => record);
--- a/packages/core/src/serving/peerHandlers.ts
+++ b/packages/core/src/serving/peerHandlers.ts
@@ -1,8 +1,9 @@
 import {type HandlerTable} from '../reducer/createReducer.js';
 import {rankDuties} from '../lease/leaseHandlers.js';
 import {
-	applyRegistrations, beginEra, expireRegistrations, listTargets, recordLeaving,
+	applyRegistrations, beginEra, countMissing, expireRegistrations, listTargets, recordLeaving,
 } from '../membership/targetCatalog.js';
+import {recordReadFailure, recordReply} from '../membership/storeContact.js';
 import {applyLimitShares} from '../placement/applyLimitShares.js';
 import {applyPeerWork, removePeer} from '../placement/peerContributions.js';
 import {
@@ -29,9 +30,15 @@
 		state.hasTargets = true;
 		applyRegistrations(state.catalog, change, nowMs);
 		state.serviceVersions.confirm(nowMs);
-		return [...observeVersions(state, nowMs), ...applyCatalog(state)];
+		const missing = countMissing(state.catalog);
+		return [
+			...observeVersions(state, nowMs),
+			...applyCatalog(state),
+			...(missing === 0 ? [] : [createEntryRecord(state, 'targets.kept', {missing, returnedAgoMs: Math.round(nowMs - state.catalog.storeContact.returnedAtMs)})]),
+		];
 	},
 	'targets.confirmed'(state, {nowMs}) {
+		recordReply(state.catalog.storeContact, nowMs);
 		state.serviceVersions.confirm(nowMs);
 		return [];
 	},
@@ -39,8 +46,8 @@
 		state.registeredPeerCount = peerCount;
 		return [];
 	},
-	'store.failed'(state, {nowMs}) {
-		state.catalog.storeFailedAtMs = nowMs;
+	'targets.readFailed'(state, {failure}) {
+		recordReadFailure(state.catalog.storeContact, failure);
 		return [];
 	},
 	'store.eraChanged'(state, {era, nowMs}) {
--- a/packages/core/src/serving/servingMessages.ts
+++ b/packages/core/src/serving/servingMessages.ts
@@ -1,4 +1,5 @@
 import {type ErrorCode, type Outcome} from '@damaskspool/shared';
+import {type ReadFailure} from '../membership/storeContact.js';
 import {type AnswerFraming} from '../request/answerFraming.js';
 import {type CloseSigns} from '../request/closedAnswer.js';
 import {type StreamForm} from '../request/eventOrder.js';
@@ -203,7 +204,7 @@
 			/** Undefined outside of streams. */
 			readonly streamForm?: StreamForm | undefined;
 		}>
-		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean}>
+		| Timed<'targets.changed', {readonly targets: readonly TargetRecord[]; readonly removed: readonly string[]; readonly isComplete: boolean; readonly isLate?: boolean}>
 		/** The store has confirmed that no registration of a target has changed. */
 		| Timed<'targets.confirmed', object>
 		/** The store lists the registered entries. */
@@ -212,8 +213,8 @@
 		| Timed<'target.noticed', {readonly target: TargetRecord; readonly notice: TargetNotice; readonly requestSentAtMs?: number}>
 		/** Whether a target accepts connections; undefined if it neither accepted nor refused one. */
 		| Timed<'target.probed', {readonly target: TargetRecord; readonly isListening: boolean | undefined}>
-		/** A call to the store failed, so registrations may have expired unnoticed. */
-		| Timed<'store.failed', {readonly detail: string}>
+		/** A call of the watch of the targets failed. */
+		| Timed<'targets.readFailed', {readonly failure: ReadFailure}>
 		/** The store states its first era, or came back from an older copy: what earlier eras said may be gone. */
 		| Timed<'store.eraChanged', {readonly era: number; readonly wallMs: number}>
 		/** The process did not run for a time that its monotonic clock does not count. */
--- a/packages/daemon/src/direct/startStoreWatches.ts
+++ b/packages/daemon/src/direct/startStoreWatches.ts
@@ -1,8 +1,12 @@
-import {type ServingEvent, type TargetRecord} from '@damaskspool/core';
+import {
+	READ_FAILURES, type ReadFailure, type ServingEvent, type TargetRecord,
+} from '@damaskspool/core';
 import {
 	type DeploymentPorts, type Logger, type MetadataObject, type Metrics, type UntimedEvent,
 } from '@damaskspool/runtime';
-import {type Failure, type Result} from '@damaskspool/shared';
+import {
+	ERROR_CODES, type ErrorCode, type Failure, type Result,
+} from '@damaskspool/shared';
 import {createMalformedLog} from './createMalformedLog.js';
 import {watchObjects} from './watchObjects.js';
 
@@ -15,6 +19,12 @@
 	readonly isStopped: () => boolean;
 };
 
+/** What the failure of a watch tells of the store. Any other failure counts as an outage. */
+const READ_FAILURES_BY_CODE: Readonly<Partial<Record<ErrorCode, ReadFailure>>> = {
+	[ERROR_CODES.watchCut]: READ_FAILURES.watchCut,
+	[ERROR_CODES.connectionLost]: READ_FAILURES.connectionLost,
+};
+
 /**
  * Watches the configuration and the targets in the store and dispatches their changes.
  * For each of the two, logs the start and the end of each store outage once.
@@ -29,7 +39,10 @@
 		}
 
 		metrics.count('store_failures');
-		dispatch({type: 'store.failed', detail: failure.message});
+		if (kind === ports.objects.targets) {
+			dispatch({type: 'targets.readFailed', failure: READ_FAILURES_BY_CODE[failure.code] ?? READ_FAILURES.unavailable});
+		}
+
 		if (!unavailableKinds.has(kind)) {
 			unavailableKinds.add(kind);
 			logger.warn('store.lost', {kind, detail: failure.message});
@@ -82,9 +95,11 @@
 		parseValue: ports.parseTarget,
 		isStopped,
 		onFailure: createFailureHandler(targets),
-		onPage({objects, version}, isComplete) {
+		onPage({objects, version, isLate = false}, isComplete) {
 			recordRecovery(targets, version);
-			dispatch({type: 'targets.changed', isComplete, ...groupTargets(objects)});
+			dispatch({
+				type: 'targets.changed', isComplete, isLate, ...groupTargets(objects),
+			});
 		},
 		onUnchanged() {
 			dispatch({type: 'targets.confirmed'});
--- a/packages/runtime/src/deploymentPorts.ts
+++ b/packages/runtime/src/deploymentPorts.ts
@@ -16,8 +16,14 @@
 	readonly isRemoved: boolean;
 };
 
-/** Objects or changes of one kind. `version` is the version up to which they are complete. */
-export type MetadataPage<Value = unknown> = {readonly version: number; readonly objects: ReadonlyArray<MetadataObject<Value>>};
+/** Objects or changes of one kind. */
+export type MetadataPage<Value = unknown> = {
+	/** Version up to which the objects or changes are complete. */
+	readonly version: number;
+	readonly objects: ReadonlyArray<MetadataObject<Value>>;
+	/** Whether the reply to a watch came later than the store may hold it open. */
+	readonly isLate?: boolean;
+};
 
 /** Options of a call that returns several objects. */
 export type ReadObjectsOptions<Value> = {
@@ -32,7 +38,10 @@
 export type MetadataStore = {
 	/** Returns all objects of a kind. With `mayBeStale`, the list may be seconds old, and costs the store less. */
 	readonly list: <Value = unknown>(kind: string, options?: ReadObjectsOptions<Value> & {readonly mayBeStale?: boolean}) => Promise<Result<MetadataPage<Value>, Failure>>;
-	/** Waits for changes after a version. Fails with `historyGone` if the store no longer has them or is in a later era. */
+	/**
+	 * Waits for changes after a version. Fails with `historyGone` if the store no longer has them or is in a later era, with
+	 * `watchCut` if it ended the connection while it held the watch open, and with `connectionLost` if it ended it at once.
+	 */
 	readonly watch: <Value = unknown>(kind: string, afterVersion: number, options?: ReadObjectsOptions<Value>) => Promise<Result<MetadataPage<Value>, Failure>>;
 	/** Returns an object, or undefined if it does not exist. */
 	readonly read: (kind: string, name: string) => Promise<Result<MetadataObject | undefined, Failure>>;
