Refuse answers whose status HTTP does not have

Callers got answers with the status 600 or 999 of a target in trouble, with its signature; with a header that says "not run" the request was sent again.

Cause: the HTTP parser takes any three digits from 200 on for a final status, and nothing else checked it.

Change: a status of 200 to 599 is an answer. Any other one fails the attempt before its head is used, in entries and sidecars.

--- a/packages/bench/src/__tests__/badInput.test.ts
+++ b/packages/bench/src/__tests__/badInput.test.ts
@@ -47,6 +47,10 @@
 			response.writeHead(200, {'content-type': 'text/event-stream'});
 			response.end('id: 0\ndata: {}\n\ndata: {}\n\ndata: [DONE]\n\n');
 		},
+		odd(response) {
+			response.writeHead(600, {'content-type': 'application/json'});
+			response.end('{}');
+		},
 		missing(response) {
 			response.writeHead(404, {'content-type': 'text/event-stream'});
 			response.end('id: 0\ndata: {}\n\ndata: [DONE]\n\n');
@@ -258,6 +262,7 @@
 			['unnumbered', ERROR_CODES.answerMalformed],
 			['anonymous', ERROR_CODES.answerMalformed],
 			['silent', ERROR_CODES.targetFailed],
+			['odd', ERROR_CODES.targetFailed],
 			['crossed', ERROR_CODES.answerCrossed],
 		] as const;
 		try {
--- a/packages/daemon/src/direct/runAttempt.ts
+++ b/packages/daemon/src/direct/runAttempt.ts
@@ -7,6 +7,7 @@
 import {
 	createByteCollector, type DeploymentPorts, type ResponseHead, type ResponseHeaders,
 } from '@damaskspool/runtime';
+import {isFinalStatus} from '@damaskspool/shared';
 import {type CallHandle} from './callHandle.js';
 import {type MemoryLedger} from './createMemoryLedger.js';
 import {createEventSplitter} from './createEventSplitter.js';
@@ -325,6 +326,11 @@
 	};
 
 	const receiveHead = (status: number, headers: ResponseHeaders, isFirstAnswer: boolean) => {
+		if (!isFinalStatus(status)) {
+			fail(`${status} is no status of a response`);
+			return;
+		}
+
 		const head = ports.parseResponseHead(status, headers);
 		// A late copy of the answer to an earlier request proves nothing about this one, even if it says "not run", and names no limit that still holds.
 		// Only the first answer of a connection cannot be such a copy.
--- a/packages/daemon/src/sidecar/runOnTarget.ts
+++ b/packages/daemon/src/sidecar/runOnTarget.ts
@@ -4,7 +4,7 @@
 import {type Work} from '@damaskspool/core';
 import {discardBody, writeWithBackPressure} from '@damaskspool/runtime';
 import {
-	ERROR_CODES, type ErrorCode, HEADERS, OUTCOMES,
+	ERROR_CODES, type ErrorCode, HEADERS, isFinalStatus, OUTCOMES,
 } from '@damaskspool/shared';
 import {type Dispatcher} from 'undici';
 import {type UsageMeter} from '../createUsageMeter.js';
@@ -76,6 +76,12 @@
 		return 0;
 	}
 
+	if (!isFinalStatus(targetResponse.statusCode)) {
+		discardBody(targetResponse.body);
+		refuseAttempt(options, ERROR_CODES.targetFailed, false);
+		return 0;
+	}
+
 	meter.begin(String(targetResponse.headers['content-type']).startsWith('text/event-stream'));
 	onAnswered();
 	const contentLength = targetResponse.headers['content-length'];
--- a/packages/shared/src/formatContentIssues.ts
+++ b/packages/shared/src/formatContentIssues.ts
@@ -9,12 +9,12 @@
 /** Formats what a schema found in a content, on one line of at most a few hundred characters. */
 export function formatContentIssues({issues}: Pick<z.ZodError, 'issues'>): string {
 	const named = issues.slice(0, MAX_NAMED_ISSUES).map(({path, message}) => {
-		const place = path.map(step => typeof step === 'number' ? `[${step}]` : `.${clip(String(step), MAX_PATH_LENGTH)}`).join('').replace(/^\./v, '');
-		return `${place === '' ? '' : `${clip(place, MAX_PATH_LENGTH)}: `}${clip(message, MAX_MESSAGE_LENGTH)}`;
+		const place = path.map(step => typeof step === 'number' ? `[${step}]` : `.${truncate(String(step), MAX_PATH_LENGTH)}`).join('').replace(/^\./v, '');
+		return `${place === '' ? '' : `${truncate(place, MAX_PATH_LENGTH)}: `}${truncate(message, MAX_MESSAGE_LENGTH)}`;
 	});
 	return `${named.join('; ')}${issues.length > MAX_NAMED_ISSUES ? '; and more' : ''}`;
 }
 
-function clip(text: string, maxLength: number): string {
+function truncate(text: string, maxLength: number): string {
 	return text.length > maxLength ? `${text.slice(0, maxLength)}…` : text;
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -12,6 +12,7 @@
 export * from './fleetRecord.js';
 export * from './headers.js';
 export * from './instanceRecord.js';
+export * from './isFinalStatus.js';
 export * from './leaseRecord.js';
 export * from './loadReport.js';
 export * from './outcomes.js';
