Let the last change of a target in an answer of the store decide

Callers' bookings were sent to targets that the store had removed, for as long as the entry lived, if the target was changed and removed between two answers of the store.

Cause: the events of a page were sorted into changed and removed targets, and the removals were applied first.

Change: the last event of a target decides whether it is registered.

--- a/packages/daemon/src/direct/startStoreWatches.ts
+++ b/packages/daemon/src/direct/startStoreWatches.ts
@@ -67,24 +67,24 @@
 	});
 
 	const groupTargets = (objects: ReadonlyArray<MetadataObject<Result<TargetRecord, Failure>>>) => {
-		const targets: TargetRecord[] = [];
+		// A page of a watch may tell of several changes of one target, of which the last one holds.
+		const latest = new Map(objects.map(object => [object.name, object]));
 		const removed: string[] = [];
-		for (const {name, value} of objects) {
-			if (value?.ok === true) {
-				malformedTargets.clear(name);
-				targets.push(value.val);
-				continue;
-			}
-
-			removed.push(name);
-			if (value === undefined) {
+		for (const {name, value} of latest.values()) {
+			if (value === undefined || value.ok) {
 				malformedTargets.clear(name);
 			} else {
 				metrics.count('targets_malformed');
 				malformedTargets.record({name, detail: value.val.message});
 			}
+
+			if (value?.ok !== true) {
+				removed.push(name);
+			}
 		}
 
+		// Earlier changes may tell that a target leaves, so they are applied in their order.
+		const targets = objects.flatMap(({name, value}) => value?.ok === true && latest.get(name)?.value?.ok === true ? [value.val] : []);
 		return {targets, removed};
 	};
 
