Check lists and records 64 elements at a time

A report of a peer took 142 µs to parse instead of 56 µs, since each element of each list was checked by itself (trial of 5,000 reports of 100 elements).

Cause: a call of safeParse for each element.

Change: the schemas are those of zod with a parse function that checks 64 elements at a time and stops at the first fault. A list of up to 64 elements is parsed by zod as before.

The property test against the schemas of zod, and longOddObjects.test.ts pass.

--- a/packages/shared/src/__tests__/createListSchema.test.ts
+++ b/packages/shared/src/__tests__/createListSchema.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import {z} from 'zod';
 import {
-	createListSchema, createRecordSchema, formatContentIssues, MAX_COLLECTION_ISSUES,
+	COLLECTION_CHUNK_SIZE, createListSchema, createRecordSchema, formatContentIssues, MAX_COLLECTION_ISSUES,
 } from '../index.js';
 
 const itemSchema = z.object({name: z.string(), count: z.number().int().default(1)});
@@ -28,6 +28,7 @@
 const contentArbitrary = fc.oneof(
 	fc.jsonValue(),
 	fc.array(fc.integer()),
+	fc.array(fc.integer(), {minLength: 60, maxLength: 200}),
 	fc.array(fc.array(fc.oneof({weight: 9, arbitrary: fc.integer()}, fc.constant(null)))),
 	fc.array(fc.record({name: fc.string(), count: fc.oneof(fc.integer(), fc.constant('x'))}, {requiredKeys: []})),
 	fc.dictionary(fc.oneof(fc.string({maxLength: 4}), fc.constantFrom('__proto__', 'constructor', '1')), fc.oneof({weight: 9, arbitrary: fc.integer()}, fc.constant(null))),
@@ -55,19 +56,26 @@
 		}), {numRuns: 1000});
 	});
 
-	it('reads no element beyond the one that brings the issues to the limit', () => {
+	it('reads no element beyond those that are checked together with the first faulty one', () => {
 		for (const element of [7, {}, [], null, 'x']) {
-			const list = createGuardedList(element, 400_000, MAX_COLLECTION_ISSUES);
+			const list = createGuardedList(element, 400_000, COLLECTION_CHUNK_SIZE);
 			assert.ok(createListSchema(itemSchema).safeParse(list).error!.issues.length <= MAX_COLLECTION_ISSUES);
 		}
 
 		assert.equal(createListSchema(z.number(), {maxLength: 10}).safeParse(createGuardedList(1, 11, 0)).success, false);
 	});
 
+	it('names the place of a fault beyond the elements that are checked first', () => {
+		const list = [...Array.from({length: 200}, () => ({name: 'a'})), {name: 7}];
+		assert.deepEqual(createListSchema(itemSchema).safeParse(list).error!.issues[0]!.path, [200, 'name']);
+		const members = Object.fromEntries(Array.from({length: 200}, (_, index) => [`k${index}`, index === 150 ? 'x' : index]));
+		assert.deepEqual(createRecordSchema(z.string(), z.number()).safeParse(members).error!.issues[0]!.path, ['k150']);
+	});
+
 	it('keeps few issues of lists in lists and of records', () => {
 		const digits = Array.from({length: 1000}, () => 7);
 		const lists = createListSchema(z.object({items: createListSchema(z.string()), others: createListSchema(z.string())}));
-		assert.ok(lists.safeParse(digits.map(() => ({items: digits, others: digits}))).error!.issues.length < 3 * MAX_COLLECTION_ISSUES);
+		assert.ok(lists.safeParse(digits.map(() => ({items: digits, others: digits}))).error!.issues.length <= MAX_COLLECTION_ISSUES);
 		const members = Object.fromEntries(digits.map((digit, index) => [`k${index}`, digit]));
 		assert.ok(createRecordSchema(z.string(), z.string()).safeParse(members).error!.issues.length <= MAX_COLLECTION_ISSUES);
 		assert.equal(createRecordSchema(z.string(), z.number(), {maxSize: 999}).safeParse(members).success, false);
--- a/packages/shared/src/createRecordSchema.ts
+++ b/packages/shared/src/createRecordSchema.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {addIssues} from './createListSchema.js';
+import {type CollectionParse, createCollectionParse} from './createCollectionParse.js';
 
 /** Options of {@link createRecordSchema}. */
 export type RecordSchemaOptions = {
@@ -7,6 +7,26 @@
 	readonly maxSize?: number;
 };
 
+type RecordDefinition = z.core.$ZodRecordDef & Required<RecordSchemaOptions>;
+
+const BoundedRecord = z.core.$constructor<z.ZodRecord, RecordDefinition>('BoundedRecord', (schema, definition) => {
+	const {maxSize} = definition;
+	z.ZodRecord.init(schema, definition);
+	schema._zod.parse = createCollectionParse({
+		parse: schema._zod.parse as CollectionParse,
+		minSize: 0,
+		maxSize,
+		origin: 'object',
+		readSize: value => typeof value === 'object' && value !== null && !Array.isArray(value) ? Object.keys(value).length : undefined,
+		createSlicer(value) {
+			const entries = Object.entries(value as object);
+			return (start, end) => Object.fromEntries(entries.slice(start, end));
+		},
+		join: parts => Object.assign({}, ...parts) as unknown,
+		toPath: path => [...path],
+	});
+});
+
 /**
  * Creates the schema of an object whose members have any names that match a schema. It accepts what `z.record` accepts,
  * and stops like `createListSchema`.
@@ -15,33 +35,11 @@
  * @param valueSchema - schema of each value
  */
 export function createRecordSchema<Value extends z.ZodType>(
-	keySchema: z.ZodType<string, string>,
+	keySchema: z.ZodString,
 	valueSchema: Value,
 	{maxSize = Number.POSITIVE_INFINITY}: RecordSchemaOptions = {},
-): z.ZodType<Record<string, z.output<Value>>, Readonly<Record<string, z.input<Value>>>> {
-	return z.custom<Readonly<Record<string, z.input<Value>>>>(value => isPlainObject(value), 'Invalid input: expected record').transform((record, context) => {
-		// As in the schemas of zod, a member of this name is left out: it would replace the prototype of a copy.
-		const names = Object.keys(record).filter(name => name !== '__proto__');
-		if (names.length > maxSize) {
-			context.addIssue(`Invalid input: expected at most ${maxSize} members, received ${names.length}`);
-			return z.NEVER;
-		}
-
-		const members: Record<string, z.output<Value>> = {};
-		for (const name of names) {
-			const key = keySchema.safeParse(name);
-			const value = valueSchema.safeParse(record[name]);
-			if (key.success && value.success) {
-				members[name] = value.data;
-			} else if ([key, value].some(({error}) => error !== undefined && addIssues(context, name, error))) {
-				break;
-			}
-		}
-
-		return context.issues.length > 0 ? z.NEVER : members;
-	});
-}
-
-function isPlainObject(value: unknown): boolean {
-	return typeof value === 'object' && value !== null && [Object.prototype, null].includes(Object.getPrototypeOf(value) as object | null);
+): z.ZodRecord<z.ZodString, Value> {
+	return new BoundedRecord({
+		type: 'record', keyType: keySchema, valueType: valueSchema, maxSize,
+	}) as unknown as z.ZodRecord<z.ZodString, Value>;
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 export * from './configurationReply.js';
+export * from './createCollectionParse.js';
 export * from './createListSchema.js';
 export * from './createRecordSchema.js';
 export * from './formatContentIssues.js';
