--- a/review/support-3/fleet.js
+++ b/review/support-3/fleet.js
@@ -190,14 +190,12 @@
 		const link = hasLink ? await startLink({port}) : undefined;
 		const address = link?.address ?? `127.0.0.1:${port}`;
 		const worker = {
-			name, service, link, child: undefined, isUp: false, boots: 0, isGone: false, restartMs,
+			name, id: name, service, link, child: undefined, timer: undefined, isUp: false, boots: 0, isGone: false, restartMs,
 		};
-		let seq = 0;
 		const beat = (id, born) => {
-			seq += 1;
 			store.put('servers', id, {
 				Service: service, Address: address, Zone: 'zone-a', Version: 'v1', Slots: service === 'engines' ? 12 : 6, State: 'ready', ColdRemainingMs: 0,
-				...(service === 'engines' && {Stage: 'decode', Models: [{Name: 'm', Version: 1, Adapters: []}]}), Seq: seq, born,
+				...(service === 'engines' && {Stage: 'decode', Models: [{Name: 'm', Version: 1, Adapters: []}]}), Seq: 0, born,
 			});
 		};
 
@@ -205,17 +203,17 @@
 			worker.boots += 1;
 			const born = Date.now();
 			const id = hasNewId ? `${name}-${worker.boots}` : name;
+			worker.id = id;
 			const workerSettings = {
 				host: '127.0.0.1', port, id, stamp: `boot${worker.boots}`, ...options,
 			};
 			const child = spawnRecorded(process.execPath, [path.join(import.meta.dirname, 'worker.js'), JSON.stringify(workerSettings)], {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
 			worker.child = child;
-			let timer;
 			child.on('message', message => {
 				if (message.type === 'listening') {
 					worker.isUp = true;
 					beat(id, born);
-					timer = setInterval(beat, HEARTBEAT_MS, id, born);
+					worker.timer = setInterval(beat, HEARTBEAT_MS, id, born);
 					record('worker listens', {worker: id, boot: worker.boots, born});
 				} else {
 					record(`worker ${message.type}`, message);
@@ -224,7 +222,7 @@
 				onMessage?.(message, worker);
 			});
 			child.on('exit', (code, signal) => {
-				clearInterval(timer);
+				clearInterval(worker.timer);
 				worker.isUp = false;
 				record('worker ended', {worker: id, boot: worker.boots, signal});
 				const boot = worker.boots;
@@ -240,6 +238,13 @@
 			});
 		};
 
+		/** Lets the worker leave without a word, as some do: its registration is removed, and it serves on. */
+		worker.leave = () => {
+			worker.isGone = true;
+			clearInterval(worker.timer);
+			store.remove('servers', worker.id);
+		};
+
 		run();
 		workers.push(worker);
 		return worker;
--- a/review/support-3/store.js
+++ b/review/support-3/store.js
@@ -9,13 +9,15 @@
 /**
  * Starts the store on a free loopback port. It does what the pages say of a sound store.
  *
- * @returns the address, functions to change objects, and the accepted usage reports
+ * @returns the address, functions to change objects, the accepted usage reports, and functions that cut off watches
  */
 export async function startStore() {
 	const objects = new Map();
 	const changes = [];
 	const waiting = new Set();
 	const reports = [];
+	const control = {cutAfterMs: undefined};
+	const cuts = new Set();
 	let revision = 1;
 
 	const publish = (kind, object, isDeleted) => {
@@ -54,24 +56,30 @@
 		}
 	};
 
-	const waitForChange = async (hasChanged, waitMs) => {
-		await new Promise(resolve => {
-			const wake = () => {
-				if (hasChanged()) {
-					finish();
-				}
-			};
+	/** Waits for a change. Returns whether the watch was cut off before. */
+	const waitForChange = async (hasChanged, waitMs) => new Promise(resolve => {
+		const finish = isCut => {
+			clearTimeout(timer);
+			waiting.delete(wake);
+			cuts.delete(cut);
+			resolve(isCut);
+		};
 
-			const finish = () => {
-				clearTimeout(timer);
-				waiting.delete(wake);
-				resolve();
-			};
+		const wake = () => {
+			if (hasChanged()) {
+				finish(false);
+			}
+		};
 
-			const timer = setTimeout(finish, Math.min(MAX_WATCH_MS, waitMs));
-			waiting.add(wake);
-		});
-	};
+		const cut = () => {
+			finish(true);
+		};
+
+		const isCutOff = control.cutAfterMs !== undefined;
+		const timer = setTimeout(finish, isCutOff ? control.cutAfterMs : Math.min(MAX_WATCH_MS, waitMs), isCutOff);
+		waiting.add(wake);
+		cuts.add(cut);
+	});
 
 	const handlers = {
 		async list({kind, query}) {
@@ -85,7 +93,10 @@
 			const since = Number(query.get('Watch'));
 			const findEvents = () => changes.filter(change => change.kind === kind && change.revision > since);
 			if (findEvents().length === 0) {
-				await waitForChange(() => findEvents().length > 0, Number(query.get('WaitMs') ?? 0));
+				const isCut = await waitForChange(() => findEvents().length > 0, Number(query.get('WaitMs') ?? 0));
+				if (isCut) {
+					return undefined;
+				}
 			}
 
 			return [200, {events: findEvents().map(({object, isDeleted}) => ({Object: object, Deleted: isDeleted})), AsOf: revision}];
@@ -134,9 +145,16 @@
 
 		const {kind, name, query = ''} = OBJECTS_PATH.exec(request.url)?.groups ?? {};
 		const parameters = new URLSearchParams(query);
-		const [status, value] = await pickHandler(request.method, name, parameters)({
+		const reply = await pickHandler(request.method, name, parameters)({
 			kind, name, key: `${kind}/${decodeURIComponent(name ?? '')}`, query: parameters, body,
 		});
+		if (reply === undefined) {
+			// A watch that is waiting may be cut off.
+			response.destroy();
+			return;
+		}
+
+		const [status, value] = reply;
 		response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(value));
 	};
 
@@ -148,6 +166,16 @@
 	const address = await listen(server);
 	return {
 		address, put, remove, reports,
+		/** Cuts off all waiting watches now, and further ones after a time. */
+		startCutting(afterMs) {
+			control.cutAfterMs = afterMs;
+			for (const cut of cuts) {
+				cut();
+			}
+		},
+		stopCutting() {
+			control.cutAfterMs = undefined;
+		},
 		close() {
 			server.closeAllConnections();
 			server.close();
