Drop two review cases that earlier ones show, add case 13, and number the cases by gravity

Case 13 is new: two watches in a row that the store cuts off count as an outage, so a worker that it has removed stays in use for longer than DrainMs.

--- a/review/13/case.js
+++ b/review/13/case.js
@@ -1,61 +1,73 @@
-/** A request that crashes its workers comes again after each step of a rolling restart of the entries. */
+/** The store cuts off waiting watches for a second, as it may. Meanwhile a worker leaves that never reports draining. */
 import {setTimeout as wait} from 'node:timers/promises';
-import {isReady} from '../support-3/caller.js';
+import {call} from '../support-3/caller.js';
 import {BOUNDS, HAS_TROUBLE, runCase} from '../support-3/fleet.js';
-import {createPoisonRecord} from '../support-3/poison.js';
 
-const ENTRIES = 3;
-const WORKERS = 4;
-/** Time for which a worker that has crashed is down. */
-const RESTART_MS = 1500;
-/** Time between two sends. The workers that crashed before are back. */
-const POISON_INTERVAL_MS = 2000;
-/** Times that the request comes at each entry after each step. */
-const ROUNDS = 2;
-/** Time within which entries that start together have found each other. */
-const PEER_LIST_MS = 5000;
-const STOP_MS = 4000;
-/** Entries that are stopped. All is over within a minute after the third crash, see case 14. */
-const STOPPED_ENTRIES = 2;
+const WORKERS = 3;
+/** Time after which a waiting watch is cut off. */
+const CUT_AFTER_MS = 200;
+const CUTTING_MS = 1000;
+const INTERVAL_MS = 10;
+/** Time from the removal until the worker ends: a little more than DrainMs. */
+const SERVES_ON_MS = BOUNDS.DrainMs + 250;
+const LAST_CALLS_MS = 3000;
 
 await runCase(import.meta.dirname, async fleet => {
-	const poison = createPoisonRecord(fleet);
-	const entries = [];
-	for (let index = 1; index <= ENTRIES; index += 1) {
-		entries.push(await fleet.startEntry(`front-${index}`));
-	}
+	const entries = [await fleet.startEntry('front-1'), await fleet.startEntry('front-2')];
+	const runs = [];
+	const onMessage = (message, worker) => {
+		if (message.type === 'began') {
+			runs.push({worker: worker.name, atMs: message.atMs, requestId: message.requestId});
+		}
+	};
 
+	const workers = [];
 	for (let index = 1; index <= WORKERS; index += 1) {
-		await fleet.startWorker(`app-${index}`, {
-			service: 'plain', onMessage: poison.onMessage, restartMs: RESTART_MS, hasNewId: true,
-		});
+		workers.push(await fleet.startWorker(`app-${index}`, {service: 'plain', onMessage, restartMs: 1000}));
 	}
 
-	const entriesByRequest = new Map();
-	const sendToAll = async () => {
-		for (let turn = 0; turn < ROUNDS * ENTRIES; turn += 1) {
-			const sequence = entriesByRequest.size;
-			const entry = entries[turn % ENTRIES];
-			entriesByRequest.set(`poison-${sequence}`, entry);
-			await poison.send(entry, sequence);
-			await wait(POISON_INTERVAL_MS);
+	await fleet.waitUntilReady();
+	await wait(BOUNDS.ContactMs + 3000);
+	const progress = {isOver: false};
+	const calls = [];
+	const send = async () => {
+		for (let sequence = 0; !progress.isOver; sequence += 1) {
+			calls.push(call({
+				port: entries[sequence % entries.length].port, path: '/book/2f', requestId: `booking-${sequence}`, body: `booking ${sequence}`, patienceMs: 1500,
+			}));
+			await wait(INTERVAL_MS);
 		}
 	};
 
-	await fleet.waitUntilReady();
-	await wait(BOUNDS.ContactMs + PEER_LIST_MS);
-	await sendToAll();
-	for (const entry of entries.slice(0, STOPPED_ENTRIES)) {
-		if (HAS_TROUBLE) {
-			fleet.record('entry gets SIGTERM', {entry: entry.name});
-			entry.child.kill('SIGTERM');
-		}
+	const sending = send();
+	await wait(2000);
+	if (HAS_TROUBLE) {
+		fleet.record('the store cuts off waiting watches', {afterMs: CUT_AFTER_MS});
+		fleet.store.startCutting(CUT_AFTER_MS);
+	}
 
-		await wait(STOP_MS);
-		await fleet.waitUntil(async () => isReady(entry.readinessPort));
-		await wait(BOUNDS.ContactMs);
-		await sendToAll();
+	await wait(CUTTING_MS);
+	const [leaving] = workers;
+	leaving.leave();
+	const leftAtMs = Date.now();
+	fleet.record('registration removed', {worker: leaving.name});
+	fleet.store.stopCutting();
+	await wait(SERVES_ON_MS);
+	fleet.record('worker exits', {worker: leaving.name});
+	leaving.child.kill('SIGTERM');
+	await wait(LAST_CALLS_MS);
+	progress.isOver = true;
+	await sending;
+	const answers = await Promise.all(calls);
+	const statuses = {};
+	for (const {status, error} of answers.filter(answer => answer.endedAtMs > leftAtMs + BOUNDS.DrainMs)) {
+		const answer = String(status ?? error);
+		statuses[answer] = (statuses[answer] ?? 0) + 1;
 	}
 
-	return poison.judge(entriesByRequest, (entry, atMs) => entry.startedAtMs + BOUNDS.ContactMs < atMs);
+	fleet.record('answers later than DrainMs after the removal', statuses);
+	const late = runs.filter(({worker, atMs}) => worker === leaving.name && atMs > leftAtMs + BOUNDS.DrainMs).map(({requestId, atMs}) => [requestId, atMs - leftAtMs]);
+	const lastMs = Math.max(0, ...runs.filter(({worker}) => worker === leaving.name).map(({atMs}) => atMs - leftAtMs));
+	fleet.record('requests that reached the worker later than DrainMs after its registration was removed', {count: late.length, lastAfterMs: lastMs, late});
+	return late.length > 0;
 });
--- a/review/support-3/fleet.js
+++ b/review/support-3/fleet.js
@@ -8,7 +8,6 @@
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {isReady} from './caller.js';
-import {startLink} from './link.js';
 import {findFreePort} from './net.js';
 import {startStore} from './store.js';
 
@@ -185,22 +184,22 @@
 	};
 
 	/** Starts a worker, which registers itself and writes its heartbeat. Its entry expires after three intervals of silence. */
-	const startWorker = async (name, {service, options = {}, onMessage, restartMs, hasNewId = false, hasLink = false}) => {
+	const startWorker = async (name, {service, options = {}, onMessage, restartMs, hasNewId = false}) => {
 		const port = await findFreePort();
-		const link = hasLink ? await startLink({port}) : undefined;
-		const address = link?.address ?? `127.0.0.1:${port}`;
 		const worker = {
-			name, id: name, service, link, child: undefined, timer: undefined, isUp: false, boots: 0, isGone: false, restartMs,
+			name, id: name, service, child: undefined, timer: undefined, isUp: false, isDraining: false, registration: undefined, boots: 0, isGone: false, restartMs,
 		};
 		const beat = (id, born) => {
-			store.put('servers', id, {
-				Service: service, Address: address, Zone: 'zone-a', Version: 'v1', Slots: service === 'engines' ? 12 : 6, State: 'ready', ColdRemainingMs: 0,
+			worker.registration = {
+				Service: service, Address: `127.0.0.1:${port}`, Zone: 'zone-a', Version: 'v1', Slots: service === 'engines' ? 12 : 6, State: 'ready', ColdRemainingMs: 0,
 				...(service === 'engines' && {Stage: 'decode', Models: [{Name: 'm', Version: 1, Adapters: []}]}), Seq: 0, born,
-			});
+			};
+			store.put('servers', id, worker.registration);
 		};
 
 		const run = () => {
 			worker.boots += 1;
+			worker.isDraining = false;
 			const born = Date.now();
 			const id = hasNewId ? `${name}-${worker.boots}` : name;
 			worker.id = id;
@@ -225,6 +224,10 @@
 				clearInterval(worker.timer);
 				worker.isUp = false;
 				record('worker ended', {worker: id, boot: worker.boots, signal});
+				if (worker.isDraining) {
+					store.remove('servers', id);
+				}
+
 				const boot = worker.boots;
 				setTimeout(() => {
 					if (hasNewId || (worker.boots === boot && !worker.isUp)) {
@@ -245,6 +248,15 @@
 			store.remove('servers', worker.id);
 		};
 
+		/** Lets the worker report that it is draining. It serves on for a time, ends its work and exits; a new one follows. */
+		worker.drain = serveOnMs => {
+			clearInterval(worker.timer);
+			worker.isDraining = true;
+			store.put('servers', worker.id, {...worker.registration, State: 'draining'});
+			record('worker drains', {worker: worker.id});
+			worker.child.send({serveOnMs});
+		};
+
 		run();
 		workers.push(worker);
 		return worker;
@@ -277,10 +289,6 @@
 			}
 
 			store.close();
-			for (const {link} of workers) {
-				link?.close();
-			}
-
 			await wait(200);
 			rmSync(temporaryFolder, {recursive: true});
 		},
